--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Command.
+fn main() {}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Daemon.
+fn main() {}
--- /dev/null
+++ b/lib/src/coordination/beat.rs
@@ -0,0 +1,155 @@
+//! Heartbeats and the requests that they lead to.
+
+use crate::coordination::{control, message};
+use crate::state::{key, time};
+
+/// Time between target reports.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Least time between two heartbeats, which lets changes gather.
+const MIN_SPACING: time::Duration = time::Duration::from_millis(20);
+/// Longest wait before a sheet is fetched again.
+const FETCH_BACKOFF_MAX: time::Duration = time::Duration::from_secs(5);
+
+impl control::Control {
+    /// Sends heartbeats when they are due, or at once after a change.
+    pub fn send_heartbeats(&mut self, now: time::Instant) {
+        if now < self.heartbeat_due || now.since(self.heartbeat_sent) < MIN_SPACING {
+            return;
+        }
+        self.heartbeat_sent = now;
+        self.heartbeat_due = now + self.config.membership.heartbeat;
+        let reports = if now >= self.report_due {
+            self.report_due = now + REPORT_INTERVAL;
+            self.make_reports()
+        } else {
+            Vec::new()
+        };
+        let peers: Vec<key::Instance> = self.membership.peers.keys().copied().collect();
+        let base = self.make_heartbeat(now, reports);
+        for peer in peers {
+            let mut heartbeat = base.clone();
+            heartbeat.details = self.details_for(peer);
+            self.outputs
+                .push(control::Output::Heartbeat(peer, heartbeat));
+        }
+    }
+
+    fn make_heartbeat(
+        &self,
+        now: time::Instant,
+        reports: Vec<message::Report>,
+    ) -> message::Heartbeat {
+        message::Heartbeat {
+            details: None,
+            echoes: self.membership.echoes(),
+            incarnation: self.membership.incarnation,
+            phase: self.membership.phase,
+            prospective: self.membership.prospective(),
+            ranked: self.membership.ranked(),
+            reports,
+            revision: self.revision(),
+            sent: now.as_millis() as u32,
+            synced: self.is_synced(),
+            version: self.version,
+        }
+    }
+
+    /// Whether peers may count on the entries held here. While an instance joins, the ones that it
+    /// will need count too.
+    fn is_synced(&self) -> bool {
+        let joining = self.membership.prospective() & !self.membership.ranked() != 0;
+        self.owners_synced() && (!joining || self.handed_over())
+    }
+
+    /// The details, if the peer does not have the present version.
+    fn details_for(&self, peer: key::Instance) -> Option<message::Details> {
+        let known = self.membership.peers.get(&peer);
+        if known.is_none_or(|peer| peer.alive && peer.version_seen >= self.version) {
+            return None;
+        }
+        let announcements = self
+            .ledger
+            .services
+            .iter()
+            .filter(|(_, service)| service.present)
+            .map(|(_, service)| message::Announcement {
+                direct: service.buckets.direct(self.config.self_key),
+                service: service.buckets.service,
+            })
+            .collect();
+        Some(message::Details {
+            announcements,
+            revision: self.revision(),
+            shards: self.config.shards,
+            traffic_port: self.config.traffic_port,
+            zone: self.membership.zone,
+        })
+    }
+
+    /// Open flows and probe results of the present targets.
+    fn make_reports(&mut self) -> Vec<message::Report> {
+        let targets: Vec<key::Target> = self
+            .ledger
+            .services
+            .iter()
+            .flat_map(|(_, service)| service.targets.iter().copied())
+            .collect();
+        let mut reports = Vec::new();
+        for key in targets {
+            let Some(name) = self.ledger.targets.get(key).map(|target| target.name) else {
+                continue;
+            };
+            let flows = self.own_flows(key);
+            let probe = self.health.own_result(key);
+            let repeats = self.pending_repeats.remove(&key).unwrap_or(0);
+            reports.push(message::Report {
+                flows,
+                probe,
+                repeats,
+                target: name,
+            });
+        }
+        reports
+    }
+
+    /// Open flows that the shards of this instance count on a target.
+    pub fn own_flows(&self, target: key::Target) -> i32 {
+        self.counts
+            .iter()
+            .filter_map(|counts| counts.get(&target))
+            .map(|count| count.flows)
+            .sum()
+    }
+
+    /// Open flows of all instances on a target, as far as known.
+    pub fn fleet_flows(&self, target: key::Target) -> u32 {
+        let peers = self
+            .peer_flows
+            .values()
+            .filter_map(|flows| flows.get(&target))
+            .sum::<i32>();
+        (self.own_flows(target) + peers).max(0) as u32
+    }
+
+    /// Fetches the sheet from a peer that has a newer one, with growing waits.
+    pub(crate) fn request_sheet(&mut self, now: time::Instant) {
+        if now < self.fetch.after {
+            return;
+        }
+        let own = self.revision();
+        let newer: Vec<key::Instance> = self
+            .membership
+            .alive()
+            .filter(|(_, peer)| peer.revision > own)
+            .map(|(key, _)| key)
+            .collect();
+        if newer.is_empty() {
+            return;
+        }
+        let peer = newer[self.random.below(newer.len())];
+        let jitter = 0.5 + self.random.unit() / 2.0;
+        self.fetch.after = now + self.fetch.backoff.mul_f64(jitter);
+        self.fetch.backoff = (self.fetch.backoff * 2).min(FETCH_BACKOFF_MAX);
+        self.outputs.push(control::Output::Fetch(peer));
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/bucket.rs
@@ -0,0 +1,320 @@
+//! The life of buckets: direct, flagged as tracked, placing, and direct again.
+//!
+//! Every instance keeps homes, fallbacks and settling times of all buckets, so that whichever
+//! instance becomes owner knows them; only the owner moves a bucket between stages. The owner
+//! announces that a bucket is tracked and waits until every live peer has applied that before it
+//! places a flow away from the fallback.
+
+use crate::coordination::{hash, rank};
+use crate::state::{bitmap, key, time, view};
+
+/// Time in which a first packet that was forwarded directly may be repeated; until it has passed,
+/// first packets keep going to the fallback.
+pub const FIRST_PACKET_GRACE: time::Duration = time::Duration::from_millis(1_100);
+/// Time after which a refusal of a first packet is sure to be true.
+pub const REFUSAL_HORIZON: time::Duration = time::Duration::from_secs(4);
+
+/// Stage of a bucket at its owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// No flow deviates and none may; waits for a census to confirm it.
+    Closing {
+        /// Generation of the view that stops placements.
+        generation: u64,
+    },
+    /// Any instance forwards to the home.
+    Direct,
+    /// Announced as tracked; not all peers have applied it.
+    Flagging {
+        /// Version of the details that announce it.
+        version: u32,
+    },
+    /// The owner places new flows from the given time on.
+    Placing {
+        /// Start of placements.
+        place_at: time::Instant,
+    },
+}
+
+/// One bucket.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    /// Instances that must hold replicas, one bit each.
+    pub copies: u32,
+    /// Target of packets whose flow has no entry.
+    pub fallback: key::Target,
+    /// Instances known to hold the bucket's entries, one bit each.
+    pub holders: u32,
+    /// Default target.
+    pub home: key::Target,
+    /// Until then entries may be missing on this side of a partition.
+    pub incomplete_until: time::Instant,
+    /// Owner in the present view.
+    pub owner: Option<key::Instance>,
+    /// Until then unknown flows may belong to a former home.
+    pub settle_until: Option<time::Instant>,
+    /// Stage, of use while this instance is the owner.
+    pub stage: Stage,
+    /// Since when this instance has seen all packets of the bucket.
+    pub tracked_at: time::Instant,
+}
+
+/// The buckets of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// Buckets by number.
+    pub buckets: Vec<Bucket>,
+    /// Stable identifier of the service.
+    pub service: key::Name,
+}
+
+/// What the stages of a service's buckets depend on.
+pub struct Circumstances<'a> {
+    /// Whether all live peers have applied a version of the details.
+    pub acknowledged: &'a dyn Fn(u32) -> bool,
+    /// Generation of the view in use by all shards at the last census.
+    pub census_generation: u64,
+    /// Entries of a bucket away from the fallback, by the last census.
+    pub deviating: &'a dyn Fn(key::Bucket) -> u32,
+    /// Share of the buckets that are always tracked, in per mille.
+    pub flexible_share: u16,
+    /// Whether a target takes its full share of new flows.
+    pub is_fit: &'a dyn Fn(key::Target) -> bool,
+    /// Whether a target has failed.
+    pub is_failed: &'a dyn Fn(key::Target) -> bool,
+    /// Generation of the next view.
+    pub next_generation: u64,
+    /// Version of the next details.
+    pub next_version: u32,
+    /// Present time.
+    pub now: time::Instant,
+    /// Idle time-out of the service.
+    pub idle_timeout: time::Duration,
+    /// This instance.
+    pub self_key: key::Instance,
+}
+
+/// What advancing the stages changed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// The set of direct buckets changed and must be announced.
+    pub announce: bool,
+    /// The view must be published anew.
+    pub publish: bool,
+}
+
+/// Whether a bucket is among the always tracked ones for a share in per mille.
+pub fn is_flexible(service: key::Name, bucket: key::Bucket, share: u16) -> bool {
+    hash::score(!service.0, u64::from(bucket.0)) % 1_000 < u64::from(share)
+}
+
+impl Table {
+    /// A table for a service that was not known before: nothing is settled, nothing is direct.
+    pub fn new(service: key::Name, homes: &[key::Target], now: time::Instant) -> Self {
+        let bucket = |home: &key::Target| Bucket {
+            copies: 0,
+            fallback: *home,
+            holders: 0,
+            home: *home,
+            incomplete_until: time::Instant(0),
+            owner: None,
+            settle_until: None,
+            stage: Stage::Direct,
+            tracked_at: now,
+        };
+        Self {
+            buckets: homes.iter().map(bucket).collect(),
+            service,
+        }
+    }
+
+    /// Takes the homes of a new revision. Former homes stay fallbacks until all their flows are
+    /// known.
+    pub fn rehome(
+        &mut self,
+        homes: &[key::Target],
+        now: time::Instant,
+        idle: time::Duration,
+        next_version: u32,
+    ) {
+        if homes.len() != self.buckets.len() {
+            *self = Self::new(self.service, homes, now);
+            return;
+        }
+        for (bucket, home) in self.buckets.iter_mut().zip(homes) {
+            if bucket.home == *home {
+                continue;
+            }
+            bucket.home = *home;
+            if bucket.settle_until.is_none() {
+                bucket.settle_until = Some(now + idle);
+            }
+            match bucket.stage {
+                Stage::Direct => {
+                    bucket.stage = Stage::Flagging {
+                        version: next_version,
+                    }
+                }
+                Stage::Closing { .. } => bucket.stage = Stage::Placing { place_at: now },
+                Stage::Flagging { .. } | Stage::Placing { .. } => {}
+            }
+        }
+    }
+
+    /// Takes new ranks. `alive` and `is_settled` tell who may still hold entries; `was_direct`
+    /// tells which buckets their former owner had declared direct.
+    pub fn rerank(
+        &mut self,
+        current: &[rank::Candidate],
+        prospective: &[rank::Candidate],
+        alive: u32,
+        self_key: key::Instance,
+        now: time::Instant,
+        idle: time::Duration,
+        was_direct: impl Fn(key::Instance, key::Bucket) -> bool,
+    ) {
+        for (index, bucket) in self.buckets.iter_mut().enumerate() {
+            let number = key::Bucket::from(index);
+            let now_pair = rank::pair(self.service, number, current);
+            let next_pair = rank::pair(self.service, number, prospective);
+            let lost = bucket.holders != 0 && bucket.holders & alive == 0;
+            if lost && !bucket.owner.is_some_and(|owner| was_direct(owner, number)) {
+                bucket.incomplete_until = now + idle;
+            }
+            if lost {
+                bucket.holders = 0;
+            }
+            let became_owner = now_pair.owner == Some(self_key) && bucket.owner != Some(self_key);
+            bucket.owner = now_pair.owner;
+            bucket.copies = wanted_copies(self_key, now_pair, next_pair);
+            if became_owner {
+                bucket.stage = Stage::Placing {
+                    place_at: now + FIRST_PACKET_GRACE,
+                };
+                bucket.tracked_at = now;
+            }
+        }
+    }
+
+    /// Notes that owners and deputies hold all entries, as they do once the fleet is settled.
+    pub fn note_settled(&mut self, current: &[rank::Candidate]) {
+        for (index, bucket) in self.buckets.iter_mut().enumerate() {
+            let pair = rank::pair(self.service, key::Bucket::from(index), current);
+            bucket.holders = pair
+                .owner
+                .into_iter()
+                .chain(pair.deputy)
+                .fold(0, |mask, instance| mask | view::mask(instance));
+        }
+    }
+
+    /// Moves each bucket to its next stage where the circumstances allow it.
+    pub fn advance(&mut self, circumstances: &Circumstances<'_>) -> Progress {
+        let mut progress = Progress::default();
+        for (index, bucket) in self.buckets.iter_mut().enumerate() {
+            let number = key::Bucket::from(index);
+            if settle(bucket, circumstances.now) {
+                progress.publish = true;
+            }
+            if bucket.owner != Some(circumstances.self_key) {
+                continue;
+            }
+            let wanted = bucket.settle_until.is_some()
+                || is_flexible(self.service, number, circumstances.flexible_share)
+                || !(circumstances.is_fit)(bucket.home);
+            let stage = next_stage(bucket, number, wanted, circumstances);
+            if stage == bucket.stage {
+                continue;
+            }
+            let was_direct = bucket.stage == Stage::Direct;
+            progress.publish = true;
+            progress.announce |= was_direct || stage == Stage::Direct;
+            if was_direct {
+                bucket.tracked_at = circumstances.now;
+            }
+            if let (Stage::Flagging { .. }, Stage::Placing { place_at }) = (bucket.stage, stage)
+                && bucket.settle_until.is_some()
+            {
+                bucket.settle_until = Some(place_at + circumstances.idle_timeout);
+            }
+            bucket.stage = stage;
+        }
+        progress
+    }
+
+    /// Buckets that this instance owns and declares direct.
+    pub fn direct(&self, self_key: key::Instance) -> bitmap::Bitmap {
+        let mut direct = bitmap::Bitmap::new(self.buckets.len());
+        for (index, bucket) in self.buckets.iter().enumerate() {
+            if bucket.owner == Some(self_key) && bucket.stage == Stage::Direct {
+                direct.set(key::Bucket::from(index), true);
+            }
+        }
+        direct
+    }
+}
+
+/// Replicas that this instance's entries of a bucket need. The owner gives them to whoever owns or
+/// keeps them now and next; anyone else makes sure that the owner has them.
+fn wanted_copies(self_key: key::Instance, now: rank::Pair, next: rank::Pair) -> u32 {
+    let wanted = if now.owner == Some(self_key) {
+        [now.deputy, next.owner, next.deputy]
+    } else {
+        [now.owner, None, None]
+    };
+    let mask = wanted
+        .into_iter()
+        .flatten()
+        .fold(0, |mask, key| mask | view::mask(key));
+    mask & !view::mask(self_key)
+}
+
+/// Ends the settling of a bucket whose time has come; returns whether it did.
+fn settle(bucket: &mut Bucket, now: time::Instant) -> bool {
+    if bucket.settle_until.is_some_and(|until| until <= now) {
+        bucket.settle_until = None;
+        bucket.fallback = bucket.home;
+        return true;
+    }
+    false
+}
+
+fn next_stage(
+    bucket: &Bucket,
+    number: key::Bucket,
+    wanted: bool,
+    circumstances: &Circumstances<'_>,
+) -> Stage {
+    let now = circumstances.now;
+    match bucket.stage {
+        Stage::Direct if wanted => Stage::Flagging {
+            version: circumstances.next_version,
+        },
+        Stage::Flagging { version } if (circumstances.acknowledged)(version) => {
+            let grace = if (circumstances.is_failed)(bucket.fallback) {
+                time::Duration::ZERO
+            } else {
+                FIRST_PACKET_GRACE
+            };
+            Stage::Placing {
+                place_at: now + grace,
+            }
+        }
+        Stage::Placing { place_at }
+            if !wanted && place_at <= now && (circumstances.deviating)(number) == 0 =>
+        {
+            Stage::Closing {
+                generation: circumstances.next_generation,
+            }
+        }
+        Stage::Closing { .. } if wanted => Stage::Placing { place_at: now },
+        Stage::Closing { generation } if circumstances.census_generation >= generation => {
+            if (circumstances.deviating)(number) == 0 {
+                Stage::Direct
+            } else {
+                Stage::Placing { place_at: now }
+            }
+        }
+        stage => stage,
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/control.rs
@@ -0,0 +1,597 @@
+//! The control decisions of one instance, from heartbeats, sheets, probes and shard reports to the
+//! view that the shards steer by.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::coordination::{bucket, health, ledger, membership, message, replica};
+use crate::state::{fleet, key, random, time, view};
+
+/// First wait before a sheet is fetched again.
+pub(crate) const FETCH_BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
+/// Time between adjustments of the flexible share.
+const SHARE_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Smallest share that is kept for the budget's sake, in per mille.
+const MIN_SHARE: u16 = 5;
+
+/// What is fixed for the life of a process.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Bytes a second that replicas may take.
+    pub budget: u64,
+    /// Health thresholds.
+    pub health: health::Config,
+    /// Number of this process.
+    pub incarnation: u32,
+    /// Membership times.
+    pub membership: membership::Config,
+    /// Peers and where their control sockets are.
+    pub peers: BTreeMap<key::Instance, SocketAddr>,
+    /// This instance.
+    pub self_key: key::Instance,
+    /// Traffic shards of this instance.
+    pub shards: u16,
+    /// Port of the first traffic shard.
+    pub traffic_port: u16,
+    /// Name of this instance's zone.
+    pub zone: compact_str::CompactString,
+}
+
+/// A change of state worth a line in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A peer is alive.
+    PeerAppeared(key::Instance),
+    /// A peer is dead.
+    PeerDied(key::Instance),
+    /// This instance was paused and joins anew.
+    Rejoined,
+    /// This instance changed its stage.
+    Phase(message::Phase),
+    /// A sheet is in force.
+    Sheet(u64),
+    /// A target changed its fitness.
+    Target(key::Target, view::Fitness),
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Fetch the sheet from a peer.
+    Fetch(key::Instance),
+    /// Make the shards forget what an instance had acknowledged.
+    Forget(key::Instance),
+    /// Send a heartbeat.
+    Heartbeat(key::Instance, message::Heartbeat),
+    /// Write a line to the log.
+    Log(Event),
+    /// Probe these targets from now on.
+    Probe(Vec<(key::Target, SocketAddr)>),
+    /// Give this view to the shards.
+    Publish(Arc<view::View>),
+    /// Watch the platform, or stop watching.
+    Watch(bool),
+}
+
+/// One target's count by a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Count {
+    /// Open flows, net of ends whose start another instance saw.
+    pub flows: i32,
+    /// Repeated first packets since the last report.
+    pub repeats: u16,
+    /// The target.
+    pub target: key::Target,
+}
+
+/// When a sheet may be fetched again.
+#[derive(Clone, Debug)]
+pub(crate) struct Fetch {
+    pub(crate) after: time::Instant,
+    pub(crate) backoff: time::Duration,
+}
+
+/// The control state of one instance.
+#[derive(Debug)]
+pub struct Control {
+    /// What is fixed for the life of the process.
+    pub config: Config,
+    /// Evidence on targets.
+    pub health: health::Health,
+    /// Services and targets.
+    pub ledger: ledger::Ledger,
+    /// Leases, shared with the shards.
+    pub lease: view::Lease,
+    /// Instances.
+    pub membership: membership::Membership,
+    /// The sheet in force.
+    pub sheet: Option<Arc<fleet::Sheet>>,
+    pub(crate) announce_due: bool,
+    pub(crate) applied_topology: u64,
+    pub(crate) censuses: Vec<replica::Census>,
+    pub(crate) counts: Vec<HashMap<key::Target, Count>>,
+    pub(crate) deviating: HashMap<(key::Service, key::Bucket), u32>,
+    pub(crate) fetch: Fetch,
+    pub(crate) generation: u64,
+    pub(crate) heartbeat_due: time::Instant,
+    pub(crate) heartbeat_sent: time::Instant,
+    pub(crate) handed_topology: Option<u64>,
+    pub(crate) outputs: Vec<Output>,
+    pub(crate) owners_topology: Option<u64>,
+    pub(crate) peer_flows: BTreeMap<key::Instance, HashMap<key::Target, i32>>,
+    pub(crate) pending_repeats: HashMap<key::Target, u16>,
+    pub(crate) probed: Vec<(key::Target, SocketAddr)>,
+    pub(crate) publish_due: bool,
+    pub(crate) random: random::Source,
+    pub(crate) ranked: u32,
+    pub(crate) report_due: time::Instant,
+    pub(crate) replica_bytes: u64,
+    pub(crate) share_due: time::Instant,
+    pub(crate) ticked_at: time::Instant,
+    pub(crate) topology: u64,
+    pub(crate) ranked_topology: u64,
+    pub(crate) version: u32,
+    pub(crate) watching: bool,
+}
+
+impl Control {
+    /// An instance that begins to join at `now`.
+    pub fn new(config: Config, random: random::Source, now: time::Instant) -> Self {
+        let membership = membership::Membership::new(
+            config.membership,
+            config.self_key,
+            ledger::name_of(&config.zone).0,
+            config.incarnation,
+            config.peers.keys().copied(),
+            now,
+        );
+        let shards = usize::from(config.shards);
+        Self {
+            health: health::Health::new(config.health),
+            ledger: ledger::Ledger::default(),
+            lease: view::Lease::default(),
+            membership,
+            sheet: None,
+            announce_due: true,
+            applied_topology: 0,
+            censuses: vec![replica::Census::default(); shards],
+            counts: vec![HashMap::new(); shards],
+            deviating: HashMap::new(),
+            fetch: Fetch {
+                after: now,
+                backoff: FETCH_BACKOFF_MIN,
+            },
+            generation: 0,
+            heartbeat_due: now,
+            heartbeat_sent: time::Instant(0),
+            handed_topology: None,
+            outputs: Vec::new(),
+            owners_topology: None,
+            peer_flows: BTreeMap::new(),
+            pending_repeats: HashMap::new(),
+            probed: Vec::new(),
+            publish_due: true,
+            random,
+            ranked: 0,
+            report_due: now,
+            replica_bytes: 0,
+            share_due: now + SHARE_INTERVAL,
+            ticked_at: now,
+            topology: 1,
+            ranked_topology: 0,
+            version: 1,
+            watching: false,
+            config,
+        }
+    }
+
+    /// What is to be done since the last call.
+    pub fn outputs(&mut self) -> std::vec::Drain<'_, Output> {
+        self.outputs.drain(..)
+    }
+
+    /// Revision of the sheet in force, zero if there is none.
+    pub fn revision(&self) -> u64 {
+        self.sheet.as_ref().map_or(0, |sheet| sheet.revision)
+    }
+
+    /// Whether the instance can serve.
+    pub fn is_ready(&self) -> bool {
+        self.sheet.is_some()
+            && matches!(
+                self.membership.phase,
+                message::Phase::Serving | message::Phase::Leaving
+            )
+    }
+
+    /// Whether this instance may decide alone for its buckets.
+    pub fn is_settled(&self) -> bool {
+        let own = view::mask(self.config.self_key);
+        matches!(
+            self.membership.phase,
+            message::Phase::Serving | message::Phase::Leaving
+        ) && self.membership.is_settled()
+            && self.membership.ranked() & own != 0
+            && self.owners_synced()
+    }
+
+    pub(crate) fn owners_synced(&self) -> bool {
+        self.owners_topology
+            .is_some_and(|topology| topology >= self.ranked_topology)
+    }
+
+    pub(crate) fn handed_over(&self) -> bool {
+        self.handed_topology
+            .is_some_and(|topology| topology >= self.topology)
+    }
+
+    /// Takes a heartbeat of a peer.
+    pub fn on_heartbeat(
+        &mut self,
+        now: time::Instant,
+        from: key::Instance,
+        heartbeat: &message::Heartbeat,
+    ) {
+        let had_details = heartbeat.details.is_some();
+        if let Some(change) = self.membership.hear(now, from, heartbeat) {
+            self.note_change(change);
+        }
+        if had_details {
+            // The sender waits for the answer before it moves flows.
+            self.heartbeat_due = time::Instant(0);
+            self.publish_due = true;
+        }
+        self.take_reports(now, from, &heartbeat.reports);
+        self.update_leases();
+        self.advance(now);
+    }
+
+    fn take_reports(
+        &mut self,
+        now: time::Instant,
+        from: key::Instance,
+        reports: &[message::Report],
+    ) {
+        for report in reports {
+            let Some(target) = self.ledger.names.get(&report.target).copied() else {
+                continue;
+            };
+            self.peer_flows
+                .entry(from)
+                .or_default()
+                .insert(target, report.flows);
+            if let Some(probe) = report.probe {
+                self.health.note_report(now, from, target, probe);
+            }
+            if report.repeats > 0 {
+                self.health
+                    .note_repeats(now, target, u32::from(report.repeats));
+            }
+            self.publish_due = true;
+        }
+    }
+
+    fn note_change(&mut self, change: membership::Change) {
+        match change {
+            membership::Change::Appeared(peer) => {
+                self.outputs.push(Output::Forget(peer));
+                self.outputs.push(Output::Log(Event::PeerAppeared(peer)));
+                self.heartbeat_due = time::Instant(0);
+            }
+            membership::Change::Died(peer) => {
+                self.peer_flows.remove(&peer);
+                self.outputs.push(Output::Log(Event::PeerDied(peer)));
+            }
+            membership::Change::Moved(_) => self.heartbeat_due = time::Instant(0),
+            membership::Change::Rejoined => {
+                self.peer_flows.clear();
+                self.version += 1;
+                self.outputs.push(Output::Log(Event::Rejoined));
+            }
+        }
+        self.topology += 1;
+    }
+
+    /// Takes an accepted sheet. A revision that is not above the one in force changes nothing.
+    pub fn on_sheet(&mut self, now: time::Instant, sheet: Arc<fleet::Sheet>) -> bool {
+        if sheet.revision <= self.revision() {
+            return false;
+        }
+        self.ledger.apply(now, &sheet, self.version + 1);
+        self.outputs.push(Output::Log(Event::Sheet(sheet.revision)));
+        self.sheet = Some(sheet);
+        self.fetch.backoff = FETCH_BACKOFF_MIN;
+        self.topology += 1;
+        self.announce_due = true;
+        self.heartbeat_due = time::Instant(0);
+        self.advance(now);
+        true
+    }
+
+    /// Takes the result of an own probe.
+    pub fn on_probe(&mut self, now: time::Instant, target: key::Target, probe: message::Probe) {
+        self.health.note_probe(target, probe);
+        self.advance(now);
+    }
+
+    /// Takes the counts of a shard.
+    pub fn on_counts(&mut self, now: time::Instant, shard: usize, counts: &[Count]) {
+        for count in counts {
+            if count.repeats > 0 {
+                self.health
+                    .note_repeats(now, count.target, u32::from(count.repeats));
+                let pending = self.pending_repeats.entry(count.target).or_default();
+                *pending = pending.saturating_add(count.repeats);
+            }
+            if let Some(kept) = self.counts.get_mut(shard) {
+                kept.insert(count.target, *count);
+            }
+        }
+    }
+
+    /// Takes the bytes of replica messages that a shard has sent.
+    pub fn on_replica_bytes(&mut self, bytes: u64) {
+        self.replica_bytes += bytes;
+    }
+
+    /// Takes what a shard's pass over its entries found.
+    pub fn on_census(&mut self, now: time::Instant, shard: usize, census: replica::Census) {
+        if let Some(kept) = self.censuses.get_mut(shard) {
+            *kept = census;
+        }
+        let least = |topology: fn(&replica::Census) -> Option<u64>| {
+            self.censuses.iter().map(topology).min().flatten()
+        };
+        let owners = least(|census| census.owners_topology);
+        let handed = least(|census| census.synced_topology);
+        let was = (self.owners_synced(), self.handed_over());
+        self.owners_topology = self.owners_topology.max(owners);
+        self.handed_topology = self.handed_topology.max(handed);
+        if was != (self.owners_synced(), self.handed_over()) {
+            self.heartbeat_due = time::Instant(0);
+        }
+        self.deviating.clear();
+        for census in &self.censuses {
+            for (bucket, count) in &census.deviating {
+                *self.deviating.entry(*bucket).or_default() += count;
+            }
+        }
+        self.update_leases();
+        self.advance(now);
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&mut self, now: time::Instant) {
+        if matches!(
+            self.membership.phase,
+            message::Phase::Joining | message::Phase::Serving
+        ) {
+            let owned_nothing = self.membership.phase == message::Phase::Joining;
+            let phase = if owned_nothing {
+                message::Phase::Left
+            } else {
+                message::Phase::Leaving
+            };
+            self.enter(phase);
+            self.advance(now);
+        }
+    }
+
+    /// Whether a planned stop has handed everything over and all peers know it.
+    pub fn has_left(&self) -> bool {
+        self.membership.has_left()
+    }
+
+    fn enter(&mut self, phase: message::Phase) {
+        self.membership.phase = phase;
+        self.topology += 1;
+        self.heartbeat_due = time::Instant(0);
+        self.outputs.push(Output::Log(Event::Phase(phase)));
+    }
+
+    /// Notes the passing of time.
+    pub fn tick(&mut self, now: time::Instant) {
+        self.ticked_at = now;
+        for change in self.membership.tick(now) {
+            self.note_change(change);
+        }
+        self.step_phase(now);
+        self.adjust_shares(now);
+        self.judge_targets(now);
+        self.update_leases();
+        self.advance(now);
+        self.request_sheet(now);
+        self.send_heartbeats(now);
+    }
+
+    fn step_phase(&mut self, now: time::Instant) {
+        if self.sheet.is_some() && self.membership.may_serve(now) {
+            self.enter(message::Phase::Serving);
+        } else if self.membership.may_leave(self.handed_over()) {
+            self.enter(message::Phase::Left);
+        }
+    }
+
+    fn update_leases(&mut self) {
+        for (key, peer) in &self.membership.peers {
+            self.lease.set_peer(*key, peer.lease);
+        }
+        let placement = if self.is_settled() {
+            self.membership.placement_lease()
+        } else {
+            time::Instant(0)
+        };
+        self.lease.set_placement(placement);
+    }
+
+    /// Lets each service's flexible share follow what its replicas cost.
+    fn adjust_shares(&mut self, now: time::Instant) {
+        if now < self.share_due {
+            return;
+        }
+        self.share_due = now + SHARE_INTERVAL;
+        let rate = self.replica_bytes / SHARE_INTERVAL.as_secs();
+        self.replica_bytes = 0;
+        let keys: Vec<key::Service> = self.ledger.services.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(service) = self.ledger.services.get_mut(key) {
+                service.share = next_share(
+                    service.share,
+                    service.item.flexible_share,
+                    rate,
+                    self.config.budget,
+                );
+            }
+        }
+    }
+
+    fn judge_targets(&mut self, now: time::Instant) {
+        let services: Vec<Vec<key::Target>> = self
+            .ledger
+            .services
+            .iter()
+            .map(|(_, service)| service.targets.clone())
+            .collect();
+        for targets in services {
+            let verdicts = self.health.judge(now, &targets);
+            for (key, verdict) in targets.into_iter().zip(verdicts) {
+                let Some(target) = self.ledger.targets.get_mut(key) else {
+                    continue;
+                };
+                if target.health.fitness != verdict.fitness {
+                    self.outputs
+                        .push(Output::Log(Event::Target(key, verdict.fitness)));
+                }
+                if target.health != verdict {
+                    target.health = verdict;
+                    self.publish_due = true;
+                }
+            }
+        }
+    }
+
+    /// Moves buckets on and publishes what changed.
+    fn advance(&mut self, now: time::Instant) {
+        self.rerank(now);
+        let progress = self.advance_buckets(now);
+        if progress.announce || self.announce_due {
+            self.announce_due = false;
+            self.version += 1;
+            self.heartbeat_due = time::Instant(0);
+        }
+        if progress.publish || self.publish_due {
+            self.publish_due = false;
+            self.publish();
+        }
+        self.choose_probes();
+        self.choose_watch();
+    }
+
+    /// Takes the present ranks into the buckets.
+    fn rerank(&mut self, now: time::Instant) {
+        let ranked = self.membership.ranked();
+        if ranked != self.ranked {
+            self.ranked = ranked;
+            self.topology += 1;
+            self.ranked_topology = self.topology;
+            self.announce_due = true;
+        }
+        if self.is_settled() {
+            let current = self.membership.candidates(ranked);
+            for key in self.service_keys() {
+                if let Some(service) = self.ledger.services.get_mut(key) {
+                    service.buckets.note_settled(&current);
+                }
+            }
+        }
+        if self.applied_topology == self.topology {
+            return;
+        }
+        let current = self.membership.candidates(ranked);
+        let prospective = self.membership.candidates(self.membership.prospective());
+        let alive = self
+            .membership
+            .alive()
+            .fold(view::mask(self.config.self_key), |mask, (key, _)| {
+                mask | view::mask(key)
+            });
+        let peers = &self.membership.peers;
+        for (_, service) in self.ledger.services.iter_mut() {
+            let name = service.buckets.service;
+            service.buckets.rerank(
+                &current,
+                &prospective,
+                alive,
+                self.config.self_key,
+                now,
+                service.item.idle_timeout,
+                |owner, number| {
+                    peers
+                        .get(&owner)
+                        .and_then(|peer| peer.direct.get(&name))
+                        .is_some_and(|direct| direct.get(number))
+                },
+            );
+        }
+        self.applied_topology = self.topology;
+        self.publish_due = true;
+    }
+
+    fn service_keys(&self) -> Vec<key::Service> {
+        self.ledger.services.iter().map(|(key, _)| key).collect()
+    }
+
+    fn advance_buckets(&mut self, now: time::Instant) -> bucket::Progress {
+        let mut total = bucket::Progress::default();
+        let census_generation = self
+            .censuses
+            .iter()
+            .map(|census| census.generation)
+            .min()
+            .unwrap_or(0);
+        for key in self.service_keys() {
+            let Some(service) = self.ledger.services.get_mut(key) else {
+                continue;
+            };
+            let mut buckets = std::mem::take(&mut service.buckets);
+            let (share, idle_timeout) = (service.share, service.item.idle_timeout);
+            let progress = buckets.advance(&bucket::Circumstances {
+                acknowledged: &|version| {
+                    self.membership
+                        .alive()
+                        .all(|(_, peer)| peer.version_seen >= version)
+                },
+                census_generation,
+                deviating: &|number| self.deviating.get(&(key, number)).copied().unwrap_or(0),
+                flexible_share: share,
+                is_fit: &|target| self.ledger.is_fit(target),
+                is_failed: &|target| self.ledger.is_failed(target),
+                next_generation: self.generation + 1,
+                next_version: self.version + 1,
+                now,
+                idle_timeout,
+                self_key: self.config.self_key,
+            });
+            total.announce |= progress.announce;
+            total.publish |= progress.publish;
+            if let Some(service) = self.ledger.services.get_mut(key) {
+                service.buckets = buckets;
+            }
+        }
+        total
+    }
+}
+
+/// The next flexible share: a quarter less when replicas cost more than the budget, slowly back up
+/// to what the sheet allows when they cost clearly less.
+fn next_share(share: u16, allowed: u16, rate: u64, budget: u64) -> u16 {
+    let floor = MIN_SHARE.min(allowed);
+    if rate > budget {
+        (share - share / 4).max(floor)
+    } else if rate * 2 < budget {
+        (share + share / 8 + 1).min(allowed)
+    } else {
+        share.min(allowed)
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/message.rs
@@ -0,0 +1,228 @@
+//! Typed messages between instances. Their encoding is the protocol layer's.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::hash;
+use crate::state::{bitmap, flow, key};
+
+/// Stage of an instance in the fleet.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// Alive, fetching entries, owns nothing.
+    Joining,
+    /// Owns its share of the buckets.
+    Serving,
+    /// Still owns its share but hands it over.
+    Leaving,
+    /// Owns nothing and forwards what still arrives.
+    Left,
+}
+
+/// What an instance tells about one peer in its heartbeat.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Echo {
+    /// Version of the peer's details that is applied.
+    pub applied: u32,
+    /// Number of the peer's process.
+    pub incarnation: u32,
+    /// The peer.
+    pub instance: key::Instance,
+    /// Sending time of the peer's last heartbeat, in milliseconds of the peer's clock.
+    pub sent: u32,
+}
+
+/// Which buckets of a service an instance owns and declares direct.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// Buckets that any instance may forward to their home.
+    pub direct: bitmap::Bitmap,
+    /// The service.
+    pub service: key::Name,
+}
+
+/// What an instance tells about one target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Open flows that the sender counts, net of ends whose start another instance saw.
+    pub flows: i32,
+    /// Result of the sender's probes, none if it does not probe the target.
+    pub probe: Option<Probe>,
+    /// First packets that were repeated lately, evidence against the target.
+    pub repeats: u16,
+    /// The target.
+    pub target: key::Name,
+}
+
+/// What a health endpoint says.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Probe {
+    /// Ready for work.
+    Healthy,
+    /// Up but not warm yet.
+    Cold,
+    /// Wants no new work for now.
+    Shedding,
+    /// Is about to stop.
+    Draining,
+    /// Does not answer or answers with an error.
+    Failed,
+}
+
+/// What changes rarely, sent until the receiver has applied it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Details {
+    /// Which buckets are direct.
+    pub announcements: Vec<Announcement>,
+    /// Revision that the announcements are for.
+    pub revision: u64,
+    /// Number of traffic shards.
+    pub shards: u16,
+    /// Port of the first traffic shard.
+    pub traffic_port: u16,
+    /// Availability zone, as a hash of its name.
+    pub zone: u64,
+}
+
+/// The periodic message of an instance to each peer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Details, left out when the receiver has them.
+    pub details: Option<Details>,
+    /// What the sender has heard from its peers.
+    pub echoes: Vec<Echo>,
+    /// Number of the sender's process.
+    pub incarnation: u32,
+    /// Stage of the sender.
+    pub phase: Phase,
+    /// Instances that the sender expects to own buckets next, one bit each.
+    pub prospective: u32,
+    /// Instances that own buckets in the sender's view, one bit each.
+    pub ranked: u32,
+    /// Target reports, present about once a second.
+    pub reports: Vec<Report>,
+    /// Revision that the sender has accepted.
+    pub revision: u64,
+    /// Sending time in milliseconds of the sender's clock.
+    pub sent: u32,
+    /// Whether all replicas are in place for the sender's view of the instances.
+    pub synced: bool,
+    /// Version of the sender's details.
+    pub version: u32,
+}
+
+/// One flow placement for a replica.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// Age of the placement in ticks.
+    pub age: u32,
+    /// The flow.
+    pub flow: flow::Key,
+    /// Stage of the flow.
+    pub phase: flow::Phase,
+    /// Stable identifier of the target.
+    pub target: key::Name,
+}
+
+/// A message between the traffic threads of two instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Traffic {
+    /// Replicas to keep.
+    Place(Vec<Place>),
+    /// Replicas that are kept now, by the low half of the flow keys.
+    Kept(Vec<u64>),
+    /// Flows that have ended.
+    End(Vec<flow::Key>),
+}
+
+impl Traffic {
+    /// Splits a message by the shards of its receiver.
+    pub fn split(self, shards: u16, mut send: impl FnMut(u16, Self)) {
+        match self {
+            Self::Place(places) => split_by(
+                places,
+                shards,
+                |place| place.flow.low,
+                |shard, part| {
+                    send(shard, Self::Place(part));
+                },
+            ),
+            Self::Kept(lows) => {
+                split_by(
+                    lows,
+                    shards,
+                    |low| *low,
+                    |shard, part| send(shard, Self::Kept(part)),
+                );
+            }
+            Self::End(flows) => {
+                split_by(
+                    flows,
+                    shards,
+                    |flow| flow.low,
+                    |shard, part| {
+                        send(shard, Self::End(part));
+                    },
+                );
+            }
+        }
+    }
+}
+
+fn split_by<T>(
+    items: Vec<T>,
+    shards: u16,
+    low: impl Fn(&T) -> u64,
+    mut send: impl FnMut(u16, Vec<T>),
+) {
+    if shards <= 1 {
+        send(0, items);
+        return;
+    }
+    let mut parts: Vec<Vec<T>> = (0..shards).map(|_| Vec::new()).collect();
+    for item in items {
+        let shard = hash::shard(low(&item), shards);
+        parts[usize::from(shard)].push(item);
+    }
+    for (shard, part) in (0..shards).zip(parts) {
+        if !part.is_empty() {
+            send(shard, part);
+        }
+    }
+}
+
+/// The header of a relayed packet.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Relay {
+    /// Relays still allowed.
+    pub hops: u8,
+    /// Revision that the sender acts on.
+    pub revision: u64,
+}
+
+/// A request for the sheet that a peer has accepted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fetch {
+    /// Revisions at or below this one are not wanted.
+    pub above: u64,
+}
+
+/// The documents of one sheet as published, so that the receiver checks them itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Bundle {
+    /// Documents by name.
+    pub documents: Vec<Document>,
+    /// The manifest.
+    pub manifest: String,
+}
+
+/// One document of a sheet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Name in the manifest.
+    pub name: CompactString,
+    /// Text of the document.
+    pub text: String,
+}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions without I/O, clocks or threads: time and messages come in as values, and what is to
+//! be sent goes out as values. Imports only `state`.
+
+pub mod beat;
+pub mod bucket;
+pub mod control;
+pub mod hash;
+pub mod health;
+pub mod ledger;
+pub mod membership;
+pub mod message;
+pub mod placement;
+pub mod publish;
+pub mod rank;
+pub mod replica;
+pub mod sheet;
+pub mod steering;
+pub mod table;
--- /dev/null
+++ b/lib/src/coordination/placement.rs
@@ -0,0 +1,92 @@
+//! Choice of a target for a new flow of a tracked bucket.
+//!
+//! Loads are the last reports of the other instances plus this shard's own open flows. Always
+//! taking the least loaded target herds while reports are old, so the choice is among a few
+//! random candidates, and the home keeps the flow unless another target is clearly better: a flow
+//! at its home needs no replica.
+
+use crate::state::{key, random, view};
+
+/// How a target is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Policy {
+    /// Random candidates besides the home.
+    pub candidates: usize,
+    /// Per mille by which a candidate must be less loaded than the home.
+    pub margin: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            candidates: 4,
+            margin: 60,
+        }
+    }
+}
+
+/// Load of a target relative to its weight, scaled to compare as an integer.
+fn relative_load(target: &view::Target, own: i64) -> u64 {
+    (open_flows(target, own) + 1) * 1_000_000 / u64::from(target.weight.max(1))
+}
+
+/// Open flows on a target, with those that this shard counts itself.
+pub fn open_flows(target: &view::Target, own: i64) -> u64 {
+    (target.load + own).max(0) as u64
+}
+
+/// Whether a target can take one more flow.
+pub fn accepts(target: &view::Target, own: i64) -> bool {
+    target.fitness == view::Fitness::Fit
+        && target.weight > 0
+        && open_flows(target, own) < u64::from(target.connections)
+}
+
+/// Chooses a target of `service`; none when no target can take a flow. `own` gives the open flows
+/// that this shard itself counts on a target.
+pub fn choose(
+    policy: Policy,
+    view: &view::View,
+    service: &view::Service,
+    home: key::Target,
+    own: impl Fn(key::Target) -> i64,
+    random: &mut random::Source,
+) -> Option<key::Target> {
+    let load = |key: key::Target| {
+        let target = view.target(key)?;
+        let own = own(key);
+        accepts(target, own).then(|| relative_load(target, own))
+    };
+    let home_load = load(home);
+    let mut best: Option<(u64, key::Target)> = None;
+    for _ in 0..policy.candidates.min(service.targets.len()) {
+        let candidate = service.targets[random.below(service.targets.len())];
+        if let Some(load) = load(candidate)
+            && best.is_none_or(|(least, _)| load < least)
+        {
+            best = Some((load, candidate));
+        }
+    }
+    match (home_load, best) {
+        (Some(at_home), Some((load, candidate))) => {
+            let limit = at_home - at_home * u64::from(policy.margin) / 1_000;
+            Some(if load < limit { candidate } else { home })
+        }
+        (Some(_), None) => Some(home),
+        (None, Some((_, candidate))) => Some(candidate),
+        (None, None) => least_loaded(service, load),
+    }
+}
+
+/// The least loaded target that accepts; looked for only when the sample found none.
+fn least_loaded(
+    service: &view::Service,
+    load: impl Fn(key::Target) -> Option<u64>,
+) -> Option<key::Target> {
+    service
+        .targets
+        .iter()
+        .filter_map(|key| load(*key).map(|load| (load, *key)))
+        .min()
+        .map(|(_, key)| key)
+}
--- /dev/null
+++ b/lib/src/coordination/sheet.rs
@@ -0,0 +1,321 @@
+//! Acceptance of a sheet: one pure check, the same for every instance and the command-line tool.
+//!
+//! A draft is what the documents say, with the place of each item. The check either makes a sheet
+//! of it or names every fault.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+
+use compact_str::CompactString;
+
+use crate::coordination::table;
+use crate::state::{code, fleet, key, packet, time};
+
+/// Largest size of one document, in bytes; the platform holds no larger value.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+/// Largest number of services.
+const MAX_SERVICES: usize = 10_000;
+/// Largest number of targets.
+const MAX_TARGETS: usize = 50_000;
+
+/// Where an item stands in the documents.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Place {
+    /// Name of the document.
+    pub document: CompactString,
+    /// Line, from 1.
+    pub line: usize,
+}
+
+/// Why a sheet cannot be accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// What is allowed.
+    pub allowed: String,
+    /// Result code.
+    pub code: code::Code,
+    /// What was found.
+    pub found: String,
+    /// Key, as a path.
+    pub key: CompactString,
+    /// Where.
+    pub place: Place,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}:{}: {}: {}: found {}, allowed: {}",
+            self.place.document, self.place.line, self.code, self.key, self.found, self.allowed
+        )
+    }
+}
+
+/// A service as drafted.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The service.
+    pub item: fleet::Service,
+    /// Where it stands.
+    pub place: Place,
+}
+
+/// A target as drafted.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Where encapsulated packets go.
+    pub address: SocketAddr,
+    /// Largest number of open connections.
+    pub connections: u32,
+    /// What operators ask of the target.
+    pub duty: fleet::Duty,
+    /// Health endpoint.
+    pub health: Option<SocketAddr>,
+    /// Name.
+    pub name: CompactString,
+    /// Where it stands.
+    pub place: Place,
+    /// Name of its service.
+    pub service: CompactString,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// Name of its zone.
+    pub zone: CompactString,
+}
+
+/// What the documents of one revision say.
+#[derive(Clone, Debug, Default)]
+pub struct Draft {
+    /// Revision of the manifest.
+    pub revision: u64,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Targets.
+    pub targets: Vec<Target>,
+    /// Zones.
+    pub zones: Vec<(CompactString, Place)>,
+}
+
+/// Makes a sheet of a draft, or names every fault. `previous` is the sheet in force.
+pub fn check(draft: &Draft, previous: Option<&fleet::Sheet>) -> Result<fleet::Sheet, Vec<Fault>> {
+    let mut faults = Vec::new();
+    check_revision(draft, previous, &mut faults);
+    check_sizes(draft, &mut faults);
+    check_zones(draft, &mut faults);
+    check_services(draft, &mut faults);
+    check_buckets(draft, previous, &mut faults);
+    let services: HashMap<&str, usize> = draft
+        .services
+        .iter()
+        .enumerate()
+        .map(|(index, service)| (service.item.name.as_str(), index))
+        .collect();
+    let zones: HashMap<&str, usize> = draft
+        .zones
+        .iter()
+        .enumerate()
+        .map(|(index, (name, _))| (name.as_str(), index))
+        .collect();
+    let mut seen: HashMap<(&str, &str), &Place> = HashMap::new();
+    let mut addresses: HashMap<(&str, SocketAddr), &Place> = HashMap::new();
+    let mut targets = Vec::with_capacity(draft.targets.len());
+    for target in &draft.targets {
+        let identity = (target.service.as_str(), target.name.as_str());
+        if let Some(first) = seen.insert(identity, &target.place) {
+            faults.push(duplicate(&target.place, "target.name", &target.name, first));
+        }
+        let address = (target.service.as_str(), target.address);
+        if let Some(first) = addresses.insert(address, &target.place) {
+            let found = target.address.to_string();
+            faults.push(duplicate(&target.place, "target.address", &found, first));
+        }
+        check_capacity(target, &mut faults);
+        let service = resolve(
+            &services,
+            &target.service,
+            "target.service",
+            target,
+            &mut faults,
+        );
+        let zone = resolve(&zones, &target.zone, "target.zone", target, &mut faults);
+        if let (Some(service), Some(zone)) = (service, zone) {
+            targets.push(fleet::Target {
+                address: target.address,
+                connections: target.connections,
+                duty: target.duty,
+                health: target.health,
+                name: target.name.clone(),
+                service: key::Service::from(service),
+                slots: target.slots,
+                zone: key::Zone::from(zone),
+            });
+        }
+    }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    Ok(fleet::Sheet {
+        revision: draft.revision,
+        services: draft
+            .services
+            .iter()
+            .map(|service| service.item.clone())
+            .collect(),
+        targets,
+        zones: draft.zones.iter().map(|(name, _)| name.clone()).collect(),
+    })
+}
+
+fn check_revision(draft: &Draft, previous: Option<&fleet::Sheet>, faults: &mut Vec<Fault>) {
+    let in_force = previous.map_or(0, |sheet| sheet.revision);
+    if draft.revision <= in_force {
+        faults.push(Fault {
+            allowed: format!("a revision above {in_force}"),
+            code: code::Code::SheetRevision,
+            found: draft.revision.to_string(),
+            key: "revision".into(),
+            place: Place {
+                document: "manifest".into(),
+                line: 1,
+            },
+        });
+    }
+}
+
+fn check_sizes(draft: &Draft, faults: &mut Vec<Fault>) {
+    let sizes = [
+        ("service", draft.services.len(), MAX_SERVICES),
+        ("target", draft.targets.len(), MAX_TARGETS),
+    ];
+    for (key, found, limit) in sizes {
+        if found > limit {
+            faults.push(Fault {
+                allowed: format!("at most {limit}"),
+                code: code::Code::SheetSize,
+                found: found.to_string(),
+                key: key.into(),
+                place: Place {
+                    document: "manifest".into(),
+                    line: 1,
+                },
+            });
+        }
+    }
+}
+
+fn check_zones(draft: &Draft, faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<&str, &Place> = HashMap::new();
+    for (name, place) in &draft.zones {
+        if let Some(first) = seen.insert(name, place) {
+            faults.push(duplicate(place, "zone.name", name, first));
+        }
+    }
+}
+
+fn check_services(draft: &Draft, faults: &mut Vec<Fault>) {
+    let mut names: HashMap<&str, &Place> = HashMap::new();
+    let mut addresses: HashMap<(IpAddr, u16, packet::Protocol), &Place> = HashMap::new();
+    for service in &draft.services {
+        let (item, place) = (&service.item, &service.place);
+        if let Some(first) = names.insert(&item.name, place) {
+            faults.push(duplicate(place, "service.name", &item.name, first));
+        }
+        if let Some(first) = addresses.insert((item.address, item.port, item.protocol), place) {
+            let found = format!("{}:{}", item.address, item.port);
+            faults.push(duplicate(place, "service.address", &found, first));
+        }
+        if item.flexible_share > 1_000 {
+            faults.push(value(
+                place,
+                "service.flexible_share",
+                item.flexible_share,
+                "0% to 100%",
+            ));
+        }
+        if item.port == 0 {
+            faults.push(value(place, "service.port", 0, "1 to 65535"));
+        }
+        if item.idle_timeout < time::Duration::from_secs(1) {
+            let found = format!("{:?}", item.idle_timeout);
+            faults.push(value(place, "service.idle_timeout", found, "1s or more"));
+        }
+    }
+}
+
+/// The number of buckets decides where every flow goes, so it cannot change under open flows.
+fn check_buckets(draft: &Draft, previous: Option<&fleet::Sheet>, faults: &mut Vec<Fault>) {
+    let in_force: HashMap<&str, u32> = previous
+        .into_iter()
+        .flat_map(|sheet| &sheet.services)
+        .map(|service| (service.name.as_str(), service.buckets))
+        .collect();
+    for service in &draft.services {
+        let found = service.item.buckets;
+        let range = table::MIN_BUCKETS..=table::MAX_BUCKETS;
+        if !found.is_power_of_two() || !range.contains(&found) {
+            let allowed = "a power of two from 16 to 65536";
+            faults.push(value(&service.place, "service.buckets", found, allowed));
+        }
+        if let Some(count) = in_force.get(service.item.name.as_str())
+            && *count != found
+        {
+            let allowed = format!("{count}, as in force");
+            faults.push(value(&service.place, "service.buckets", found, &allowed));
+        }
+    }
+}
+
+fn check_capacity(target: &Target, faults: &mut Vec<Fault>) {
+    for (key, found) in [
+        ("target.slots", target.slots),
+        ("target.connections", target.connections),
+    ] {
+        if found == 0 {
+            faults.push(value(&target.place, key, found, "1 or more"));
+        }
+    }
+}
+
+fn resolve(
+    known: &HashMap<&str, usize>,
+    name: &str,
+    key: &str,
+    target: &Target,
+    faults: &mut Vec<Fault>,
+) -> Option<usize> {
+    let index = known.get(name).copied();
+    if index.is_none() {
+        let mut names: Vec<&str> = known.keys().copied().collect();
+        names.sort_unstable();
+        faults.push(Fault {
+            allowed: format!("one of {}", names.join(", ")),
+            code: code::Code::SheetReference,
+            found: format!("\"{name}\""),
+            key: key.into(),
+            place: target.place.clone(),
+        });
+    }
+    index
+}
+
+fn duplicate(place: &Place, key: &str, found: &str, first: &Place) -> Fault {
+    Fault {
+        allowed: format!("a value not used at {}:{}", first.document, first.line),
+        code: code::Code::SheetDuplicate,
+        found: format!("\"{found}\" again"),
+        key: key.into(),
+        place: place.clone(),
+    }
+}
+
+fn value(place: &Place, key: &str, found: impl fmt::Display, allowed: &str) -> Fault {
+    Fault {
+        allowed: allowed.to_owned(),
+        code: code::Code::SheetValue,
+        found: found.to_string(),
+        key: key.into(),
+        place: place.clone(),
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/steering.rs
@@ -0,0 +1,584 @@
+//! Steering of packets by one shard.
+//!
+//! A packet of a direct bucket goes to the bucket's home without any state. In a tracked bucket
+//! the owner decides: it keeps an entry for each flow, places new flows, and sends packets of
+//! unknown flows to the fallback, which is where every flow without an entry was sent before.
+//! Any other instance relays to the owner. An instance whose leases have run out does not rely on
+//! what it knew of the buckets: it relays, or holds the packet until it knows again.
+
+use crate::coordination::{placement, replica};
+use crate::state::{arena, count, flow, key, packet, random, time, view};
+
+/// Relays that a packet may take before it is dropped.
+pub const MAX_HOPS: u8 = 2;
+/// Longest time that a packet is held.
+pub const MAX_HOLD: time::Duration = time::Duration::from_millis(1_800);
+/// Time after which a flow of which only first packets were seen is over.
+const OPENING_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Time after which a flow whose caller has sent FIN is over.
+const CLOSING_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// Time after which a flow whose caller has sent RST is over.
+const RESET_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Slots of the memory for repeated first packets, a power of two.
+const RECENT_SLOTS: usize = 4_096;
+/// Slots looked at for an entry that can be given up.
+const VICTIM_PROBES: usize = 64;
+
+/// Bounds of one shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest number of entries.
+    pub entries: usize,
+    /// Largest number of held packets.
+    pub held: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            entries: 1 << 20,
+            held: 1_024,
+        }
+    }
+}
+
+/// One packet to steer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Packet {
+    /// The flow.
+    pub flow: flow::Key,
+    /// The parsed headers.
+    pub header: packet::Header,
+    /// Relays that the packet may still take.
+    pub hops: u8,
+}
+
+/// What becomes of a packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Dropped, and counted under the reason.
+    Drop(count::Counter),
+    /// Sent to a target.
+    Forward(key::Target),
+    /// Kept until `Shard::released` names it.
+    Hold(key::Held),
+    /// Answered with a refusal.
+    Refuse,
+    /// Sent on to an instance, with the relays that remain.
+    Relay(key::Instance, u8),
+}
+
+/// Why a packet is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Wait {
+    /// For the replicas of its entry.
+    Copies(key::Entry),
+    /// For a newer view or lease.
+    View,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    deadline: time::Instant,
+    packet: Packet,
+    wait: Wait,
+}
+
+/// Steering state of one shard.
+#[derive(Debug)]
+pub struct Shard {
+    /// Counters of the shard.
+    pub counters: std::sync::Arc<count::Set>,
+    pub(crate) limits: Limits,
+    pub(crate) load: Load,
+    pub(crate) policy: placement::Policy,
+    pub(crate) replicas: replica::Outbox,
+    pub(crate) table: flow::Table,
+    held: arena::Arena<key::Held, Held>,
+    random: random::Source,
+    recent: Vec<u64>,
+    released: Vec<(key::Held, Verdict)>,
+}
+
+/// What a shard counts on each target.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// Net of flow starts and ends seen in direct buckets.
+    direct: Vec<f64>,
+    /// Entries that this shard owns.
+    owned: Vec<u32>,
+    /// Repeated first packets since the last report.
+    repeats: Vec<u16>,
+}
+
+/// The slot of a target in a vector that grows as needed.
+fn slot<T: Clone + Default>(values: &mut Vec<T>, target: key::Target) -> &mut T {
+    if values.len() <= target.index() {
+        values.resize(target.index() + 1, T::default());
+    }
+    &mut values[target.index()]
+}
+
+impl Load {
+    /// Open flows counted on a target.
+    pub fn open(&self, target: key::Target) -> i64 {
+        let direct = self.direct.get(target.index()).copied().unwrap_or(0.0);
+        i64::from(self.owned.get(target.index()).copied().unwrap_or(0)) + direct.round() as i64
+    }
+
+    /// Counts an entry that this shard now owns.
+    pub fn add_owned(&mut self, target: key::Target) {
+        *slot(&mut self.owned, target) += 1;
+    }
+
+    /// Counts an entry that this shard no longer owns.
+    pub fn remove_owned(&mut self, target: key::Target) {
+        let owned = slot(&mut self.owned, target);
+        *owned = owned.saturating_sub(1);
+    }
+
+    /// Forgets part of the net of direct flows, so that flows whose end was not seen fade.
+    pub fn decay(&mut self, keep: f64) {
+        for direct in &mut self.direct {
+            *direct *= keep;
+        }
+    }
+
+    /// Takes the repeats counted since the last call.
+    pub fn take_repeats(&mut self, target: key::Target) -> u16 {
+        std::mem::take(slot(&mut self.repeats, target))
+    }
+}
+
+impl Shard {
+    /// A shard without flows.
+    pub fn new(limits: Limits, policy: placement::Policy, random: random::Source) -> Self {
+        Self {
+            counters: std::sync::Arc::default(),
+            limits,
+            load: Load::default(),
+            policy,
+            replicas: replica::Outbox::default(),
+            table: flow::Table::default(),
+            held: arena::Arena::default(),
+            random,
+            recent: vec![0; RECENT_SLOTS],
+            released: Vec::new(),
+        }
+    }
+
+    /// Number of flow entries.
+    pub fn entry_count(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Number of held packets.
+    pub fn held_count(&self) -> usize {
+        self.held.len()
+    }
+
+    /// The entry of a flow.
+    pub fn entry(&self, flow: flow::Key) -> Option<&flow::Entry> {
+        self.table.get(self.table.find(flow)?)
+    }
+
+    /// What this shard counts on each target.
+    pub fn load(&mut self) -> &mut Load {
+        &mut self.load
+    }
+
+    /// Held packets whose verdict is known now.
+    pub fn released(&mut self) -> std::vec::Drain<'_, (key::Held, Verdict)> {
+        self.released.drain(..)
+    }
+
+    /// Decides what becomes of a packet.
+    pub fn steer(&mut self, view: &view::View, now: time::Instant, packet: Packet) -> Verdict {
+        let Some(service_key) = view.service(&packet.header.tuple) else {
+            return Verdict::Drop(match view.revision {
+                0 => count::Counter::DropNotReady,
+                _ => count::Counter::DropUnknownAddress,
+            });
+        };
+        let service = &view.services[service_key.index()];
+        let Some(bucket) = service.buckets.get(service.bucket(packet.flow).index()) else {
+            return Verdict::Drop(count::Counter::DropNoTarget);
+        };
+        match bucket.mode {
+            view::Mode::Direct if self.may_go_direct(view, bucket, now) => {
+                self.count_direct(packet, bucket.home);
+                forward(view, now, bucket.home)
+            }
+            view::Mode::Own => self.steer_owned(view, now, packet, service_key, bucket),
+            view::Mode::Direct | view::Mode::Relay => {
+                self.steer_remote(view, now, packet, bucket.owner)
+            }
+        }
+    }
+
+    /// Whether the owner's word that a bucket is direct still holds.
+    fn may_go_direct(&self, view: &view::View, bucket: &view::Bucket, now: time::Instant) -> bool {
+        bucket.owner == view.self_key || now < view.lease.peer(bucket.owner)
+    }
+
+    fn count_direct(&mut self, packet: Packet, home: key::Target) {
+        match packet.header.kind {
+            packet::Kind::First => {
+                let recent = &mut self.recent[packet.flow.low as usize & (RECENT_SLOTS - 1)];
+                if *recent == packet.flow.low {
+                    *slot(&mut self.load.repeats, home) += 1;
+                } else {
+                    *recent = packet.flow.low;
+                    *slot(&mut self.load.direct, home) += 1.0;
+                }
+            }
+            packet::Kind::Finish | packet::Kind::Reset => {
+                *slot(&mut self.load.direct, home) -= 1.0;
+            }
+            packet::Kind::Datagram | packet::Kind::Middle => {}
+        }
+    }
+
+    /// A packet of a tracked bucket that another instance owns.
+    fn steer_remote(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        owner: key::Instance,
+    ) -> Verdict {
+        let owner_alive = now < view.lease.peer(owner);
+        if owner_alive && packet.hops > 0 {
+            return Verdict::Relay(owner, packet.hops - 1);
+        }
+        if let Some(key) = self.table.find(packet.flow) {
+            self.touch(key, now, packet.header.kind);
+            let target = self.table.get(key).map(|entry| entry.target);
+            return target.map_or(Verdict::Drop(count::Counter::DropHopLimit), |target| {
+                forward(view, now, target)
+            });
+        }
+        if owner_alive {
+            return Verdict::Drop(count::Counter::DropHopLimit);
+        }
+        self.hold(now, packet, Wait::View)
+    }
+
+    /// A packet of a bucket that this instance owns.
+    fn steer_owned(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        service: key::Service,
+        bucket: &view::Bucket,
+    ) -> Verdict {
+        if let Some(key) = self.table.find(packet.flow) {
+            self.adopt(key);
+            self.count_repeat(key, packet.header.kind);
+            self.touch(key, now, packet.header.kind);
+            return self.forward_entry(view, now, packet, key, bucket);
+        }
+        if now >= view.lease.placement() {
+            return self.hold(now, packet, Wait::View);
+        }
+        let is_new = match packet.header.kind {
+            packet::Kind::First => true,
+            packet::Kind::Datagram => now >= bucket.known_at,
+            _ => false,
+        };
+        if is_new {
+            self.start_flow(view, now, packet, service, bucket)
+        } else {
+            self.adopt_unknown(view, now, packet, service, bucket)
+        }
+    }
+
+    /// Places a new flow.
+    fn start_flow(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        service_key: key::Service,
+        bucket: &view::Bucket,
+    ) -> Verdict {
+        let service = &view.services[service_key.index()];
+        let Some(target) = self.choose(view, now, service, bucket) else {
+            return if now >= bucket.known_at {
+                Verdict::Refuse
+            } else {
+                Verdict::Drop(count::Counter::DropNoTarget)
+            };
+        };
+        let deviates = replica::needs_copies(bucket, target);
+        match self.insert(view, now, packet, service_key, target, flow::Phase::Opening) {
+            Some(key) => {
+                if deviates {
+                    self.counters.increment(count::Counter::EntryDeviating);
+                    self.request_copies(view, now, key, bucket);
+                }
+                self.forward_entry(view, now, packet, key, bucket)
+            }
+            // Without an entry only the fallback is sure to get the flow's later packets.
+            None if !deviates => forward(view, now, target),
+            None => Verdict::Drop(count::Counter::DropNoTarget),
+        }
+    }
+
+    /// The target of a new flow, none if no target can take it.
+    fn choose(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        service: &view::Service,
+        bucket: &view::Bucket,
+    ) -> Option<key::Target> {
+        let open = |target| self.load.open(target);
+        if now < bucket.place_at {
+            return view
+                .target(bucket.fallback)
+                .is_some_and(|target| target.fitness != view::Fitness::Failed)
+                .then_some(bucket.fallback);
+        }
+        if service.connection_limit < u32::MAX
+            && open_flows(view, service, open) >= u64::from(service.connection_limit)
+        {
+            return None;
+        }
+        placement::choose(
+            self.policy,
+            view,
+            service,
+            bucket.home,
+            open,
+            &mut self.random,
+        )
+    }
+
+    /// A packet in mid-flow without an entry: its flow was sent to the fallback.
+    fn adopt_unknown(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        service: key::Service,
+        bucket: &view::Bucket,
+    ) -> Verdict {
+        if !bucket.complete {
+            return self.hold(now, packet, Wait::View);
+        }
+        let phase = phase_after(flow::Phase::Open, packet.header.kind);
+        if packet.header.kind != packet::Kind::Reset
+            && let Some(key) = self.insert(view, now, packet, service, bucket.fallback, phase)
+            && replica::needs_copies(bucket, bucket.fallback)
+        {
+            self.request_copies(view, now, key, bucket);
+        }
+        forward(view, now, bucket.fallback)
+    }
+
+    /// Forwards by an entry, or holds the packet while a replica is still due.
+    fn forward_entry(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        key: key::Entry,
+        bucket: &view::Bucket,
+    ) -> Verdict {
+        let Some(entry) = self.table.get_mut(key) else {
+            return Verdict::Drop(count::Counter::DropNoTarget);
+        };
+        let ready = entry.confirmed
+            || entry.target == bucket.fallback
+            || replica::has_copies(bucket, entry);
+        if !ready {
+            return self.hold(now, packet, Wait::Copies(key));
+        }
+        entry.confirmed = true;
+        forward(view, now, entry.target)
+    }
+
+    fn insert(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        service: key::Service,
+        target: key::Target,
+        phase: flow::Phase,
+    ) -> Option<key::Entry> {
+        if self.table.len() >= self.limits.entries && !self.give_up_one(view) {
+            return None;
+        }
+        let tick = flow::Tick::at(now);
+        let key = self.table.insert(flow::Entry {
+            confirmed: false,
+            copies: 0,
+            flow: packet.flow,
+            phase,
+            placed: tick,
+            refreshed: tick,
+            role: flow::Role::Owned,
+            seen: tick,
+            service,
+            target,
+        });
+        self.load.add_owned(target);
+        self.counters.increment(count::Counter::EntryCreated);
+        Some(key)
+    }
+
+    /// Gives up one entry whose flow is found at the fallback without it.
+    fn give_up_one(&mut self, view: &view::View) -> bool {
+        let mut keys = Vec::with_capacity(VICTIM_PROBES);
+        self.table.sweep(VICTIM_PROBES, &mut keys);
+        let victim = keys.into_iter().find(|key| {
+            self.table.get(*key).is_some_and(|entry| {
+                entry.role == flow::Role::Owned
+                    && replica::bucket_of(view, entry)
+                        .is_some_and(|bucket| !replica::needs_copies(bucket, entry.target))
+            })
+        });
+        let Some(victim) = victim else {
+            return false;
+        };
+        self.remove(victim);
+        self.counters.increment(count::Counter::EntryGivenUp);
+        true
+    }
+
+    /// Removes an entry and its share of the counts.
+    pub(crate) fn remove(&mut self, key: key::Entry) -> Option<flow::Entry> {
+        let entry = self.table.remove(key)?;
+        if entry.role == flow::Role::Owned {
+            self.load.remove_owned(entry.target);
+        }
+        self.replicas.forget(key);
+        Some(entry)
+    }
+
+    /// Makes a replica the owner's entry.
+    pub(crate) fn adopt(&mut self, key: key::Entry) {
+        if let Some(entry) = self.table.get_mut(key)
+            && entry.role == flow::Role::Copy
+        {
+            entry.role = flow::Role::Owned;
+            entry.confirmed = true;
+            self.load.add_owned(entry.target);
+        }
+    }
+
+    fn count_repeat(&mut self, key: key::Entry, kind: packet::Kind) {
+        if let Some(entry) = self.table.get(key)
+            && kind == packet::Kind::First
+            && entry.phase == flow::Phase::Opening
+        {
+            *slot(&mut self.load.repeats, entry.target) += 1;
+        }
+    }
+
+    fn touch(&mut self, key: key::Entry, now: time::Instant, kind: packet::Kind) {
+        if let Some(entry) = self.table.get_mut(key) {
+            entry.seen = flow::Tick::at(now);
+            entry.phase = phase_after(entry.phase, kind);
+        }
+    }
+
+    fn hold(&mut self, now: time::Instant, packet: Packet, wait: Wait) -> Verdict {
+        if self.held.len() >= self.limits.held {
+            return Verdict::Drop(count::Counter::DropHoldFull);
+        }
+        Verdict::Hold(self.held.insert(Held {
+            deadline: now + MAX_HOLD,
+            packet,
+            wait,
+        }))
+    }
+
+    /// Decides again on the held packets: all that wait for a view, and those of `ready` entries.
+    pub(crate) fn retry_held(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        ready: &[key::Entry],
+    ) {
+        if self.held.is_empty() {
+            return;
+        }
+        let due: Vec<(key::Held, Held)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| match held.wait {
+                Wait::Copies(entry) => held.deadline <= now || ready.contains(&entry),
+                Wait::View => true,
+            })
+            .map(|(key, held)| (key, *held))
+            .collect();
+        for (key, held) in due {
+            self.retry_one(view, now, key, held);
+        }
+    }
+
+    fn retry_one(&mut self, view: &view::View, now: time::Instant, key: key::Held, held: Held) {
+        if held.deadline <= now {
+            self.held.remove(key);
+            self.released
+                .push((key, Verdict::Drop(count::Counter::DropHeldTooLong)));
+            return;
+        }
+        match self.steer(view, now, held.packet) {
+            Verdict::Hold(again) => {
+                // The packet keeps its first key and deadline.
+                let renewed = self.held.remove(again);
+                if let (Some(renewed), Some(slot)) = (renewed, self.held.get_mut(key)) {
+                    slot.wait = renewed.wait;
+                }
+            }
+            // A full hold is no verdict on a packet that is already held.
+            Verdict::Drop(count::Counter::DropHoldFull) => {}
+            verdict => {
+                self.held.remove(key);
+                self.released.push((key, verdict));
+            }
+        }
+    }
+
+    /// Time without a packet after which an entry's flow is over.
+    pub(crate) fn timeout(entry: &flow::Entry, idle: time::Duration) -> time::Duration {
+        match entry.phase {
+            flow::Phase::Opening => idle.min(OPENING_TIMEOUT),
+            flow::Phase::Open => idle,
+            flow::Phase::Closing => idle.min(CLOSING_TIMEOUT),
+            flow::Phase::Reset => idle.min(RESET_TIMEOUT),
+        }
+    }
+}
+
+/// Open flows of a service on all instances.
+fn open_flows(view: &view::View, service: &view::Service, own: impl Fn(key::Target) -> i64) -> u64 {
+    service
+        .targets
+        .iter()
+        .filter_map(|key| Some(placement::open_flows(view.target(*key)?, own(*key))))
+        .sum()
+}
+
+/// Stage of a flow after one more packet.
+fn phase_after(phase: flow::Phase, kind: packet::Kind) -> flow::Phase {
+    match (phase, kind) {
+        (_, packet::Kind::Reset) | (flow::Phase::Reset, _) => flow::Phase::Reset,
+        (_, packet::Kind::Finish) | (flow::Phase::Closing, _) => flow::Phase::Closing,
+        (flow::Phase::Opening, packet::Kind::First) => flow::Phase::Opening,
+        _ => flow::Phase::Open,
+    }
+}
+
+fn forward(view: &view::View, now: time::Instant, target: key::Target) -> Verdict {
+    match view.target(target) {
+        Some(found) if now >= found.deadline => Verdict::Drop(count::Counter::DropDeadline),
+        Some(_) => Verdict::Forward(target),
+        None => Verdict::Drop(count::Counter::DropNoTarget),
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/mod.rs
@@ -0,0 +1,10 @@
+//! Encodings: packets, frames between instances, the sheet's documents, settings and reports.
+//! Imports `coordination` and `state`.
+
+pub mod fault;
+pub mod ip;
+pub mod manifest;
+pub mod settings;
+pub mod sheet;
+pub mod unit;
+pub mod wire;
--- /dev/null
+++ b/lib/src/protocol/sheet.rs
@@ -0,0 +1,298 @@
+//! The sheet's documents: TOML with `[[zone]]`, `[[service]]` and `[[target]]` tables.
+//!
+//! A sheet may be split over documents in any way; they are read as one. Reading turns the text
+//! into a draft with the place of each item; `coordination::sheet` decides whether to accept it.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::coordination::{message, sheet, table};
+use crate::protocol::{fault, manifest, unit};
+use crate::state::{code, fleet, packet};
+
+/// Idle time-out of a service whose sheet does not say.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Flexible share of a service whose sheet does not say, in parts per million.
+const DEFAULT_FLEXIBLE_SHARE: u32 = 100_000;
+/// Slots of a target whose sheet does not say.
+const DEFAULT_SLOTS: u32 = 1;
+/// Connections of a target whose sheet does not say.
+const DEFAULT_CONNECTIONS: u32 = 2_000;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document {
+    #[serde(default)]
+    service: Vec<Spanned<Service>>,
+    #[serde(default)]
+    target: Vec<Spanned<Target>>,
+    #[serde(default)]
+    zone: Vec<Spanned<Zone>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Zone {
+    name: CompactString,
+}
+
+#[serde_with::serde_as]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Service {
+    address: IpAddr,
+    #[serde(default = "default_buckets")]
+    buckets: u32,
+    connection_limit: Option<u32>,
+    #[serde_as(as = "unit::Share")]
+    #[serde(default = "default_flexible_share")]
+    flexible_share: u32,
+    #[serde_as(as = "unit::Span")]
+    #[serde(default = "default_idle_timeout")]
+    idle_timeout: Duration,
+    name: CompactString,
+    #[serde(default)]
+    objective: Objective,
+    port: u16,
+    protocol: packet::Protocol,
+}
+
+#[serde_with::serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Objective {
+    #[serde_as(as = "Option<unit::Share>")]
+    broken: Option<u32>,
+    imbalance: Option<f64>,
+    #[serde_as(as = "Option<unit::Share>")]
+    refused: Option<u32>,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    #[default]
+    Active,
+    Draining,
+}
+
+#[serde_with::serde_as]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Target {
+    address: SocketAddr,
+    #[serde(default = "default_connections")]
+    connections: u32,
+    #[serde_as(as = "Option<unit::Span>")]
+    #[serde(default)]
+    drain_deadline: Option<Duration>,
+    health: Option<SocketAddr>,
+    name: CompactString,
+    service: CompactString,
+    #[serde(default = "default_slots")]
+    slots: u32,
+    #[serde(default)]
+    state: State,
+    zone: CompactString,
+}
+
+fn default_buckets() -> u32 {
+    table::DEFAULT_BUCKETS
+}
+
+fn default_flexible_share() -> u32 {
+    DEFAULT_FLEXIBLE_SHARE
+}
+
+fn default_idle_timeout() -> Duration {
+    DEFAULT_IDLE_TIMEOUT
+}
+
+fn default_connections() -> u32 {
+    DEFAULT_CONNECTIONS
+}
+
+fn default_slots() -> u32 {
+    DEFAULT_SLOTS
+}
+
+/// The line of a byte offset, from 1.
+fn line_of(text: &str, offset: usize) -> usize {
+    text.as_bytes()
+        .iter()
+        .take(offset)
+        .filter(|byte| **byte == b'\n')
+        .count()
+        + 1
+}
+
+/// Reads one document into a draft.
+fn read(document: &message::Document, draft: &mut sheet::Draft) -> Result<(), sheet::Fault> {
+    let text = &document.text;
+    let place = |offset: usize| sheet::Place {
+        document: document.name.clone(),
+        line: line_of(text, offset),
+    };
+    if text.len() > sheet::MAX_DOCUMENT_BYTES {
+        return Err(sheet::Fault {
+            allowed: format!("at most {} bytes", sheet::MAX_DOCUMENT_BYTES),
+            code: code::Code::SheetSize,
+            found: format!("{} bytes", text.len()),
+            key: "document".into(),
+            place: place(0),
+        });
+    }
+    let parsed: Document =
+        toml::from_str(text).map_err(|error| syntax_fault(text, &error, place))?;
+    for zone in parsed.zone {
+        let at = place(zone.span().start);
+        draft.zones.push((zone.into_inner().name, at));
+    }
+    for service in parsed.service {
+        let at = place(service.span().start);
+        draft.services.push(service_of(service.into_inner(), at));
+    }
+    for target in parsed.target {
+        let at = place(target.span().start);
+        draft.targets.push(target_of(target.into_inner(), at));
+    }
+    Ok(())
+}
+
+fn syntax_fault(
+    text: &str,
+    error: &toml::de::Error,
+    place: impl Fn(usize) -> sheet::Place,
+) -> sheet::Fault {
+    let span = error.span().unwrap_or(0..0);
+    let line = text[..span.start.min(text.len())]
+        .rfind('\n')
+        .map_or(0, |index| index + 1);
+    let key = text[line..].split(['=', '\n']).next().unwrap_or("").trim();
+    let found = text
+        .get(span.clone())
+        .unwrap_or("")
+        .lines()
+        .next()
+        .unwrap_or("")
+        .trim();
+    sheet::Fault {
+        allowed: error.message().replace('\n', " "),
+        code: code::Code::SheetSyntax,
+        found: format!("`{found}`"),
+        key: key.into(),
+        place: place(span.start),
+    }
+}
+
+fn service_of(service: Service, place: sheet::Place) -> sheet::Service {
+    let default = fleet::Objective::default();
+    let imbalance = service
+        .objective
+        .imbalance
+        .map(|ratio| (ratio * 1_000.0) as u32);
+    sheet::Service {
+        item: fleet::Service {
+            address: service.address,
+            buckets: service.buckets,
+            connection_limit: service.connection_limit,
+            flexible_share: (service.flexible_share / 1_000) as u16,
+            idle_timeout: service.idle_timeout,
+            name: service.name,
+            objective: fleet::Objective {
+                broken: service.objective.broken.unwrap_or(default.broken),
+                imbalance: imbalance.unwrap_or(default.imbalance),
+                refused: service.objective.refused.unwrap_or(default.refused),
+            },
+            port: service.port,
+            protocol: service.protocol,
+        },
+        place,
+    }
+}
+
+fn target_of(target: Target, place: sheet::Place) -> sheet::Target {
+    sheet::Target {
+        address: target.address,
+        connections: target.connections,
+        duty: match target.state {
+            State::Active => fleet::Duty::Active,
+            State::Draining => fleet::Duty::Draining {
+                deadline: target.drain_deadline,
+            },
+        },
+        health: target.health,
+        name: target.name,
+        place,
+        service: target.service,
+        slots: target.slots,
+        zone: target.zone,
+    }
+}
+
+/// Reads documents into a draft, or names every document that cannot be read.
+pub fn draft(
+    revision: u64,
+    documents: &[message::Document],
+) -> Result<sheet::Draft, Vec<sheet::Fault>> {
+    let mut draft = sheet::Draft {
+        revision,
+        ..sheet::Draft::default()
+    };
+    let faults: Vec<sheet::Fault> = documents
+        .iter()
+        .filter_map(|document| read(document, &mut draft).err())
+        .collect();
+    if faults.is_empty() {
+        Ok(draft)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Makes a report of faults, one line each.
+pub fn fault_report(faults: &[sheet::Fault]) -> error_stack::Report<fault::Fault> {
+    let code = faults
+        .first()
+        .map_or(code::Code::SheetSyntax, |fault| fault.code);
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    fault::report(code, lines.join("\n"))
+}
+
+/// Checks a whole published sheet: manifest, digests, documents, and acceptance.
+pub fn accept(
+    bundle: &message::Bundle,
+    previous: Option<&fleet::Sheet>,
+) -> fault::Result<fleet::Sheet> {
+    let manifest = manifest::parse(&bundle.manifest)?;
+    for named in &manifest.documents {
+        let found = bundle
+            .documents
+            .iter()
+            .find(|document| document.name == named.name);
+        let matches = found.is_some_and(|found| manifest::digest(&found.text) == named.digest);
+        if !matches {
+            return Err(fault::report(
+                code::Code::SheetDigest,
+                format!(
+                    "{}: the text does not match digest {}",
+                    named.name, named.digest
+                ),
+            ));
+        }
+    }
+    let named = |document: &&message::Document| {
+        manifest
+            .documents
+            .iter()
+            .any(|named| named.name == document.name)
+    };
+    let documents: Vec<message::Document> =
+        bundle.documents.iter().filter(named).cloned().collect();
+    let draft = draft(manifest.revision, &documents).map_err(|faults| fault_report(&faults))?;
+    sheet::check(&draft, previous).map_err(|faults| fault_report(&faults))
+}
--- /dev/null
+++ b/lib/src/protocol/wire.rs
@@ -0,0 +1,180 @@
+//! Frames between instances: `postcard` bodies under a keyed authentication tag.
+//!
+//! The two highest bits of the first byte tell a frame (11) from an encapsulated packet, which is
+//! Generic UDP Encapsulation of variant 1 (01). A frame is: kind, number of the key, sender, tag,
+//! body. The tag of a relay covers the relay's header and the first bytes of the packet; the rest
+//! of the packet is the caller's and carries no more trust than the caller's own packet.
+
+use std::hash::Hasher;
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher24;
+
+use crate::coordination::message;
+use crate::state::{count, key};
+
+/// Bytes before the body: kind, key number, sender, tag.
+pub const HEADER_BYTES: usize = 12;
+/// Bytes of a packet that a relay's tag covers.
+const COVERED_PACKET_BYTES: usize = 64;
+/// Longest body of a relay before the packet: hop limit and revision.
+pub const MAX_RELAY_BYTES: usize = HEADER_BYTES + 12;
+
+/// What a datagram is, from its first byte.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Fetch of a sheet.
+    Fetch,
+    /// Heartbeat.
+    Heartbeat,
+    /// Encapsulated IP packet.
+    Packet,
+    /// Relayed IP packet.
+    Relay,
+    /// Message between traffic threads.
+    Traffic,
+}
+
+const KIND_HEARTBEAT: u8 = 0xC0;
+const KIND_TRAFFIC: u8 = 0xC1;
+const KIND_RELAY: u8 = 0xC2;
+const KIND_FETCH: u8 = 0xC3;
+
+impl Kind {
+    fn byte(self) -> Option<u8> {
+        match self {
+            Self::Fetch => Some(KIND_FETCH),
+            Self::Heartbeat => Some(KIND_HEARTBEAT),
+            Self::Packet => None,
+            Self::Relay => Some(KIND_RELAY),
+            Self::Traffic => Some(KIND_TRAFFIC),
+        }
+    }
+}
+
+/// The kind of a datagram; none if it is neither a frame nor an encapsulated packet.
+pub fn kind(bytes: &[u8]) -> Option<Kind> {
+    match *bytes.first()? {
+        KIND_FETCH => Some(Kind::Fetch),
+        KIND_HEARTBEAT => Some(Kind::Heartbeat),
+        KIND_RELAY => Some(Kind::Relay),
+        KIND_TRAFFIC => Some(Kind::Traffic),
+        byte if byte >> 6 == 0b01 => Some(Kind::Packet),
+        _ => None,
+    }
+}
+
+/// One secret of the frame authentication.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Key {
+    /// Number that frames carry.
+    pub number: u8,
+    /// Secret halves.
+    pub secret: (u64, u64),
+}
+
+/// The key to sign with and all keys to accept; during a rotation there are two.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ring {
+    /// Keys that are accepted; the first one signs.
+    pub keys: Vec<Key>,
+}
+
+impl Ring {
+    fn find(&self, number: u8) -> Option<Key> {
+        self.keys.iter().copied().find(|key| key.number == number)
+    }
+}
+
+/// The authentication tag of a frame whose tag bytes are left out, and of what follows it.
+fn tag(key: Key, frame: &[u8], covered: &[u8]) -> [u8; 8] {
+    let mut hasher = SipHasher24::new_with_keys(key.secret.0, key.secret.1);
+    hasher.write(&frame[..4]);
+    hasher.write(&frame[HEADER_BYTES..]);
+    hasher.write(covered);
+    hasher.finish().to_le_bytes()
+}
+
+/// Encodes a frame. A body that cannot be encoded gives an empty frame, which receivers drop.
+pub fn encode<T: Serialize>(ring: &Ring, kind: Kind, sender: key::Instance, body: &T) -> Vec<u8> {
+    let mut frame = Vec::new();
+    if let (Some(key), Some(kind)) = (ring.keys.first(), kind.byte()) {
+        begin(&mut frame, *key, kind, sender);
+        if let Ok(body) = postcard::to_stdvec(body) {
+            frame.extend_from_slice(&body);
+        }
+        seal(&mut frame, *key, &[]);
+    }
+    frame
+}
+
+/// Appends the head of a relayed packet to `head`; the packet itself follows in the datagram.
+pub fn encode_relay(
+    ring: &Ring,
+    sender: key::Instance,
+    relay: message::Relay,
+    packet: &[u8],
+    head: &mut Vec<u8>,
+) {
+    head.clear();
+    let Some(key) = ring.keys.first().copied() else {
+        return;
+    };
+    begin(head, key, KIND_RELAY, sender);
+    let mut buffer = [0u8; MAX_RELAY_BYTES];
+    if let Ok(body) = postcard::to_slice(&relay, &mut buffer) {
+        head.extend_from_slice(body);
+    }
+    seal(head, key, &packet[..packet.len().min(COVERED_PACKET_BYTES)]);
+}
+
+fn begin(frame: &mut Vec<u8>, key: Key, kind: u8, sender: key::Instance) {
+    frame.extend_from_slice(&[kind, key.number]);
+    frame.extend_from_slice(&sender.0.to_le_bytes());
+    frame.extend_from_slice(&[0; 8]);
+}
+
+fn seal(frame: &mut [u8], key: Key, covered: &[u8]) {
+    let tag = tag(key, frame, covered);
+    frame[4..HEADER_BYTES].copy_from_slice(&tag);
+}
+
+fn open(ring: &Ring, bytes: &[u8], covered: &[u8]) -> Result<key::Instance, count::Counter> {
+    if bytes.len() < HEADER_BYTES {
+        return Err(count::Counter::DropEncoding);
+    }
+    let key = ring
+        .find(bytes[1])
+        .ok_or(count::Counter::DropAuthentication)?;
+    if tag(key, bytes, covered) != bytes[4..HEADER_BYTES] {
+        return Err(count::Counter::DropAuthentication);
+    }
+    Ok(key::Instance(u16::from_le_bytes([bytes[2], bytes[3]])))
+}
+
+/// Decodes a frame; the error is the counter of the reason to drop it.
+pub fn decode<T: for<'a> Deserialize<'a>>(
+    ring: &Ring,
+    bytes: &[u8],
+) -> Result<(key::Instance, T), count::Counter> {
+    let sender = open(ring, bytes, &[])?;
+    let body =
+        postcard::from_bytes(&bytes[HEADER_BYTES..]).map_err(|_| count::Counter::DropEncoding)?;
+    Ok((sender, body))
+}
+
+/// Decodes a relay: the sender, the relay's header, and where the packet begins.
+pub fn decode_relay(
+    ring: &Ring,
+    bytes: &[u8],
+) -> Result<(key::Instance, message::Relay, usize), count::Counter> {
+    if bytes.len() < HEADER_BYTES {
+        return Err(count::Counter::DropEncoding);
+    }
+    let (relay, packet) = postcard::take_from_bytes::<message::Relay>(&bytes[HEADER_BYTES..])
+        .map_err(|_| count::Counter::DropEncoding)?;
+    let start = bytes.len() - packet.len();
+    let covered = &packet[..packet.len().min(COVERED_PACKET_BYTES)];
+    let sender = open(ring, &bytes[..start], covered)?;
+    Ok((sender, relay, start))
+}
--- /dev/null
+++ b/lib/src/state/count.rs
@@ -0,0 +1,126 @@
+//! Counters of one thread, read by the others without a lock.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Defines the counters and their names in metrics.
+macro_rules! define_counters {
+    ($($(#[$doc:meta])* $variant:ident => $name:literal,)*) => {
+        /// What is counted.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Counter {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl Counter {
+            /// All counters in index order.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Name in metrics and reports.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)*
+                }
+            }
+        }
+    };
+}
+
+define_counters! {
+    /// Packets received from the fabric.
+    Received => "packets_received",
+    /// Packets forwarded to a target.
+    Forwarded => "packets_forwarded",
+    /// Packets relayed to another instance.
+    Relayed => "packets_relayed",
+    /// Packets received by relay.
+    RelayReceived => "relays_received",
+    /// Packets passed to the shard that they belong to.
+    Passed => "packets_passed",
+    /// Packets held for a decision.
+    Held => "packets_held",
+    /// First packets refused.
+    Refused => "flows_refused",
+    /// Flow entries created.
+    EntryCreated => "entries_created",
+    /// Flow entries placed away from their bucket's home.
+    EntryDeviating => "entries_deviating",
+    /// Flow entries removed after their end or idle time-out.
+    EntryEnded => "entries_ended",
+    /// Flow entries given up at the bound on entries.
+    EntryGivenUp => "entries_given_up",
+    /// Entries whose target changed when two placements met.
+    EntryMerged => "entries_merged",
+    /// Bytes of control frames sent.
+    ControlBytesSent => "control_bytes_sent",
+    /// Control frames sent.
+    ControlFramesSent => "control_frames_sent",
+    /// Control frames received.
+    ControlFramesReceived => "control_frames_received",
+    /// Packets dropped: shorter than their headers say.
+    DropTruncated => "drop_truncated",
+    /// Packets dropped: not a valid IP packet.
+    DropMalformed => "drop_malformed",
+    /// Packets dropped: a fragment.
+    DropFragment => "drop_fragment",
+    /// Packets dropped: transport protocol not served.
+    DropProtocol => "drop_protocol",
+    /// Packets dropped: no service at the address.
+    DropUnknownAddress => "drop_unknown_address",
+    /// Packets dropped: larger than a receive buffer.
+    DropOversized => "drop_oversized",
+    /// Packets dropped: held longer than the bound.
+    DropHeldTooLong => "drop_held_too_long",
+    /// Packets dropped: too many held.
+    DropHoldFull => "drop_hold_full",
+    /// Packets dropped: relayed too often.
+    DropHopLimit => "drop_hop_limit",
+    /// Packets dropped: no accepted sheet.
+    DropNotReady => "drop_not_ready",
+    /// Packets dropped: no target can take the flow and a refusal might not be true.
+    DropNoTarget => "drop_no_target",
+    /// Packets dropped: the drain deadline of the flow's target has passed.
+    DropDeadline => "drop_deadline",
+    /// Frames dropped: wrong authentication.
+    DropAuthentication => "drop_authentication",
+    /// Frames dropped: not decodable.
+    DropEncoding => "drop_encoding",
+    /// Sends that the socket did not take.
+    SendFailed => "send_failed",
+    /// Events that the control thread's queue could not take.
+    EventLost => "events_lost",
+}
+
+/// One value for each counter.
+#[derive(Debug)]
+pub struct Set {
+    values: Vec<AtomicU64>,
+}
+
+impl Default for Set {
+    fn default() -> Self {
+        Self {
+            values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+}
+
+impl Set {
+    /// Adds one.
+    pub fn increment(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds an amount. Only one thread writes, so a load and a store are enough.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        let value = &self.values[counter as usize];
+        value.store(
+            value.load(Ordering::Relaxed).wrapping_add(amount),
+            Ordering::Relaxed,
+        );
+    }
+
+    /// Current value.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/lib/src/state/fleet.rs
@@ -0,0 +1,111 @@
+//! The accepted sheet as typed values: zones, services and targets.
+
+use std::net::{IpAddr, SocketAddr};
+
+use compact_str::CompactString;
+
+use crate::state::{key, packet, time};
+
+/// A whole sheet of one revision.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Sheet {
+    /// Revision of the manifest; a higher one replaces a lower one.
+    pub revision: u64,
+    /// Services in the order of the documents.
+    pub services: Vec<Service>,
+    /// Targets in the order of the documents.
+    pub targets: Vec<Target>,
+    /// Availability zones.
+    pub zones: Vec<CompactString>,
+}
+
+/// A set of targets behind one public address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Service {
+    /// Public address.
+    pub address: IpAddr,
+    /// Number of buckets, a power of two that stays the same for the life of the service.
+    pub buckets: u32,
+    /// Largest number of open flows, none if unlimited.
+    pub connection_limit: Option<u32>,
+    /// Share of the buckets that are always tracked, in per mille.
+    pub flexible_share: u16,
+    /// Time without a packet after which a flow is over.
+    pub idle_timeout: time::Duration,
+    /// Name of the service.
+    pub name: CompactString,
+    /// Service-level objectives.
+    pub objective: Objective,
+    /// Public port.
+    pub port: u16,
+    /// Transport protocol.
+    pub protocol: packet::Protocol,
+}
+
+/// Service-level objectives, each the allowed share in parts per million.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Objective {
+    /// Broken flows of all flows.
+    pub broken: u32,
+    /// Allowed ratio of the fullest target to the mean, in per mille.
+    pub imbalance: u32,
+    /// Refused flows of all flows.
+    pub refused: u32,
+}
+
+impl Default for Objective {
+    fn default() -> Self {
+        Self {
+            broken: 1_000,
+            imbalance: 1_250,
+            refused: 10_000,
+        }
+    }
+}
+
+/// What operators ask of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Duty {
+    /// Takes new flows.
+    Active,
+    /// Keeps its flows and takes no new ones.
+    Draining {
+        /// Time for flows to end after the sheet is accepted, none if unlimited.
+        deadline: Option<time::Duration>,
+    },
+}
+
+/// One target of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Where encapsulated packets go.
+    pub address: SocketAddr,
+    /// Largest number of open connections.
+    pub connections: u32,
+    /// What operators ask of the target.
+    pub duty: Duty,
+    /// Address of the health endpoint, none if it is not probed.
+    pub health: Option<SocketAddr>,
+    /// Name of the target, unique in its service.
+    pub name: CompactString,
+    /// Index of the service in the sheet.
+    pub service: key::Service,
+    /// Requests that the target can run at once.
+    pub slots: u32,
+    /// Index of the availability zone in the sheet.
+    pub zone: key::Zone,
+}
+
+impl Target {
+    /// Stable identifier of the target, from the names of its service and itself.
+    pub fn id(&self, service: &Service) -> key::Name {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(service.name.as_bytes());
+        hasher.update(b"/");
+        hasher.update(self.name.as_bytes());
+        let hash = hasher.finalize();
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hash.as_bytes()[..8]);
+        key::Name(u64::from_le_bytes(bytes))
+    }
+}
--- /dev/null
+++ b/lib/src/state/flow.rs
@@ -0,0 +1,173 @@
+//! The flow table of one shard: exact entries in an arena and an index over them.
+//!
+//! An entry takes 40 bytes and its index slot about 6 to 11, below the bound of 64 bytes a flow.
+
+use hashbrown::HashTable;
+use serde::{Deserialize, Serialize};
+
+use crate::state::{arena, key, time};
+
+/// Keyed hash of a flow's addresses and ports, wide enough to stand for the flow.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Key {
+    /// Half that selects bucket and shard.
+    pub high: u64,
+    /// Half that indexes the table.
+    pub low: u64,
+}
+
+/// Stage of a flow's life as seen from the caller's packets.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Phase {
+    /// Only first packets were seen.
+    Opening,
+    /// Later packets were seen.
+    Open,
+    /// The caller has sent FIN.
+    Closing,
+    /// The caller has sent RST.
+    Reset,
+}
+
+/// Whether this instance decides for the flow or keeps a copy for the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// This instance owns the flow's bucket.
+    Owned,
+    /// This instance keeps a replica.
+    Copy,
+}
+
+/// A tick of 100 ms, which keeps times in entries small.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Tick(pub u32);
+
+impl Tick {
+    const MICROS: u64 = 100_000;
+
+    /// The tick of an instant.
+    pub fn at(now: time::Instant) -> Self {
+        Self((now.0 / Self::MICROS) as u32)
+    }
+
+    /// Time from an earlier tick to this one, zero if that one is later.
+    pub fn since(self, earlier: Self) -> time::Duration {
+        time::Duration::from_micros(u64::from(self.0.saturating_sub(earlier.0)) * Self::MICROS)
+    }
+}
+
+/// Where one flow goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Whether the needed replicas were in place once; packets are held until then.
+    pub confirmed: bool,
+    /// Instances that acknowledged a replica, one bit each.
+    pub copies: u32,
+    /// The flow.
+    pub flow: Key,
+    /// Stage of the flow.
+    pub phase: Phase,
+    /// Tick of the placement.
+    pub placed: Tick,
+    /// Tick of the last refresh of the replicas.
+    pub refreshed: Tick,
+    /// Owner's entry or replica.
+    pub role: Role,
+    /// Tick of the last packet.
+    pub seen: Tick,
+    /// Service of the flow.
+    pub service: key::Service,
+    /// Target of the flow.
+    pub target: key::Target,
+}
+
+/// Entries of one shard.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    cursor: usize,
+    entries: arena::Arena<key::Entry, Entry>,
+    index: HashTable<key::Entry>,
+}
+
+impl Table {
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The entry of a flow.
+    pub fn find(&self, flow: Key) -> Option<key::Entry> {
+        let entries = &self.entries;
+        self.index
+            .find(flow.low, |key| {
+                entries.get(*key).is_some_and(|entry| entry.flow == flow)
+            })
+            .copied()
+    }
+
+    /// The entry of a flow by the low half of its key.
+    pub fn find_low(&self, low: u64) -> Option<key::Entry> {
+        let entries = &self.entries;
+        self.index
+            .find(low, |key| {
+                entries.get(*key).is_some_and(|entry| entry.flow.low == low)
+            })
+            .copied()
+    }
+
+    /// An entry by key.
+    pub fn get(&self, key: key::Entry) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// An entry by key, for change. The flow of an entry must not be changed.
+    pub fn get_mut(&mut self, key: key::Entry) -> Option<&mut Entry> {
+        self.entries.get_mut(key)
+    }
+
+    /// Adds an entry for a flow that has none.
+    pub fn insert(&mut self, entry: Entry) -> key::Entry {
+        debug_assert!(self.find(entry.flow).is_none());
+        let key = self.entries.insert(entry);
+        let entries = &self.entries;
+        self.index.insert_unique(entry.flow.low, key, |key| {
+            entries.get(*key).map_or(0, |entry| entry.flow.low)
+        });
+        key
+    }
+
+    /// Removes an entry.
+    pub fn remove(&mut self, key: key::Entry) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
+        if let Ok(occupied) = self.index.find_entry(entry.flow.low, |found| *found == key) {
+            occupied.remove();
+        }
+        Some(entry)
+    }
+
+    /// All entries.
+    pub fn iter(&self) -> impl Iterator<Item = (key::Entry, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// The keys of the next `count` slots in turn, and whether the pass over all slots is complete.
+    pub fn sweep(&mut self, count: usize, keys: &mut Vec<key::Entry>) -> bool {
+        keys.clear();
+        let slots = self.entries.slot_count();
+        let end = (self.cursor + count).min(slots);
+        for index in self.cursor..end {
+            let key = key::Entry::from(index);
+            if self.entries.get(key).is_some() {
+                keys.push(key);
+            }
+        }
+        let complete = end >= slots;
+        self.cursor = if complete { 0 } else { end };
+        complete
+    }
+}
--- /dev/null
+++ b/lib/src/state/key.rs
@@ -0,0 +1,78 @@
+//! The small `Copy` keys that stand for instances, services, targets, zones and buckets.
+//!
+//! A key is an index into the arena that holds the item. Keys of the sheet's items are assigned in
+//! the order of the accepted sheet, so they are only meaningful together with a revision; messages
+//! between instances carry stable identifiers (`Name`) wherever revisions can differ.
+
+use serde::{Deserialize, Serialize};
+
+/// Defines one arena key over a small integer.
+macro_rules! define_key {
+    ($(#[$doc:meta])* $name:ident, $repr:ty) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        pub struct $name(pub $repr);
+
+        impl $name {
+            /// The index of the item in its arena.
+            pub fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+
+        impl From<usize> for $name {
+            fn from(index: usize) -> Self {
+                debug_assert!(index <= <$repr>::MAX as usize);
+                Self(index as $repr)
+            }
+        }
+
+        impl From<$name> for usize {
+            fn from(key: $name) -> usize {
+                key.index()
+            }
+        }
+    };
+}
+
+define_key!(
+    /// An instance of the system, numbered by the settings' peer list.
+    Instance,
+    u16
+);
+define_key!(
+    /// A service of the accepted sheet.
+    Service,
+    u16
+);
+define_key!(
+    /// A target of the accepted sheet.
+    Target,
+    u32
+);
+define_key!(
+    /// An availability zone of the accepted sheet.
+    Zone,
+    u16
+);
+define_key!(
+    /// A unit of a service's hash space.
+    Bucket,
+    u32
+);
+define_key!(
+    /// An entry of a flow table.
+    Entry,
+    u32
+);
+define_key!(
+    /// A packet that waits for a decision.
+    Held,
+    u32
+);
+
+/// The stable 64-bit identifier of a named item, equal on every instance and for every revision.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Name(pub u64);
--- /dev/null
+++ b/lib/src/state/mod.rs
@@ -0,0 +1,13 @@
+//! Arenas and tables keyed by small `Copy` keys. Imports no other layer.
+
+pub mod arena;
+pub mod bitmap;
+pub mod code;
+pub mod count;
+pub mod fleet;
+pub mod flow;
+pub mod key;
+pub mod packet;
+pub mod random;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/lib/src/state/random.rs
@@ -0,0 +1,27 @@
+//! The seeded generator that decisions draw from; it is handed in, so that a run can be repeated.
+
+use rand::{Rng, SeedableRng};
+
+/// A small fast generator with a known seed.
+#[derive(Clone, Debug)]
+pub struct Source(rand_pcg::Pcg64Mcg);
+
+impl Source {
+    /// A generator for a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(rand_pcg::Pcg64Mcg::seed_from_u64(seed))
+    }
+
+    /// A uniform number below `bound`, zero if `bound` is zero.
+    pub fn below(&mut self, bound: usize) -> usize {
+        if bound == 0 {
+            return 0;
+        }
+        ((u128::from(self.0.next_u64()) * bound as u128) >> 64) as usize
+    }
+
+    /// A uniform number in the unit interval.
+    pub fn unit(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/lib/src/state/view.rs
@@ -0,0 +1,233 @@
+//! The immutable snapshot that the control thread publishes to the traffic threads.
+//!
+//! Leases change with every heartbeat, so they are atomics beside the snapshot; all else is
+//! replaced as a whole.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use compact_str::CompactString;
+
+use crate::state::{flow, key, packet, time};
+
+/// Largest number of instances that share one service, the width of a replica mask.
+pub const MAX_INSTANCES: usize = 32;
+
+/// The replica mask bit of an instance.
+pub fn mask(instance: key::Instance) -> u32 {
+    1u32.checked_shl(u32::from(instance.0)).unwrap_or(0)
+}
+
+/// How long this instance may rely on its view, per peer and for placing flows.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    peers: Arc<Vec<AtomicU64>>,
+    placement: Arc<AtomicU64>,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Self {
+            peers: Arc::new((0..MAX_INSTANCES).map(|_| AtomicU64::new(0)).collect()),
+            placement: Arc::new(AtomicU64::new(0)),
+        }
+    }
+}
+
+impl Lease {
+    /// End of the lease that a peer granted.
+    pub fn peer(&self, instance: key::Instance) -> time::Instant {
+        let value = self
+            .peers
+            .get(instance.index())
+            .map_or(0, |end| end.load(Ordering::Relaxed));
+        time::Instant(value)
+    }
+
+    /// Sets the end of the lease that a peer granted.
+    pub fn set_peer(&self, instance: key::Instance, until: time::Instant) {
+        if let Some(end) = self.peers.get(instance.index()) {
+            end.store(until.0, Ordering::Relaxed);
+        }
+    }
+
+    /// End of the time in which this instance alone decides for the buckets it owns.
+    pub fn placement(&self) -> time::Instant {
+        time::Instant(self.placement.load(Ordering::Relaxed))
+    }
+
+    /// Sets the end of the time in which this instance alone decides for its buckets.
+    pub fn set_placement(&self, until: time::Instant) {
+        self.placement.store(until.0, Ordering::Relaxed);
+    }
+}
+
+/// How a bucket's packets are steered by this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    /// Any instance forwards to the home.
+    Direct,
+    /// This instance owns the bucket and decides.
+    Own,
+    /// The owner decides.
+    Relay,
+}
+
+/// One bucket of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bucket {
+    /// Instances that must hold a replica of each deviating entry, one bit each.
+    pub copies: u32,
+    /// Whether every entry of the bucket is known here; if not, a flow without an entry is not
+    /// guessed onto the fallback.
+    pub complete: bool,
+    /// Target of packets whose flow has no entry.
+    pub fallback: key::Target,
+    /// Default target of new flows.
+    pub home: key::Target,
+    /// From here on every flow without an entry is new.
+    pub known_at: time::Instant,
+    /// How packets are steered.
+    pub mode: Mode,
+    /// Instance that decides while the bucket is tracked.
+    pub owner: key::Instance,
+    /// From here on flows may be placed away from the fallback.
+    pub place_at: time::Instant,
+    /// Whether unknown flows may still belong to a former home.
+    pub settling: bool,
+}
+
+/// Whether a target takes new flows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fitness {
+    /// Takes new flows.
+    Fit,
+    /// Takes no new flows but serves its open ones.
+    Closed,
+    /// Serves nothing.
+    Failed,
+}
+
+/// One target.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Where encapsulated packets go.
+    pub address: SocketAddr,
+    /// Largest number of open connections.
+    pub connections: u32,
+    /// From here on packets of open flows are dropped.
+    pub deadline: time::Instant,
+    /// Whether it takes new flows.
+    pub fitness: Fitness,
+    /// Open flows counted by all other instances, as last reported; below zero where this
+    /// instance saw more starts and they saw more ends.
+    pub load: i64,
+    /// Stable identifier.
+    pub name: key::Name,
+    /// Service it belongs to.
+    pub service: key::Service,
+    /// Relative capacity; zero while it takes nothing.
+    pub weight: u32,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Buckets by number; the count is a power of two.
+    pub buckets: Vec<Bucket>,
+    /// Largest number of open flows.
+    pub connection_limit: u32,
+    /// Time without a packet after which a flow is over.
+    pub idle_timeout: time::Duration,
+    /// Name of the service.
+    pub name: CompactString,
+    /// Targets of the sheet.
+    pub targets: Vec<key::Target>,
+}
+
+impl Service {
+    /// The bucket of a flow.
+    pub fn bucket(&self, flow: flow::Key) -> key::Bucket {
+        key::Bucket((flow.high & (self.buckets.len() as u64 - 1)) as u32)
+    }
+}
+
+/// One instance that packets can be relayed to.
+#[derive(Clone, Copy, Debug)]
+pub struct Instance {
+    /// Address of the first traffic shard; the others follow on the next ports.
+    pub address: SocketAddr,
+    /// Number of traffic shards.
+    pub shards: u16,
+}
+
+/// Public address of a service.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Address {
+    /// Address.
+    pub ip: IpAddr,
+    /// Port.
+    pub port: u16,
+    /// Transport protocol.
+    pub protocol: packet::Protocol,
+}
+
+/// The whole snapshot.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Services by public address.
+    pub addresses: HashMap<Address, key::Service>,
+    /// Number of the snapshot; it only grows.
+    pub generation: u64,
+    /// Number of the last snapshot that changed owners or copies.
+    pub topology: u64,
+    /// Instances by key, none where the instance is unknown.
+    pub instances: Vec<Option<Instance>>,
+    /// Leases of the snapshot.
+    pub lease: Lease,
+    /// Targets by stable identifier.
+    pub names: HashMap<key::Name, key::Target>,
+    /// Revision of the sheet; zero while there is none.
+    pub revision: u64,
+    /// This instance.
+    pub self_key: key::Instance,
+    /// Services by key.
+    pub services: Vec<Service>,
+    /// Targets by key.
+    pub targets: Vec<Target>,
+}
+
+impl View {
+    /// A snapshot without a sheet.
+    pub fn empty(self_key: key::Instance, lease: Lease) -> Self {
+        Self {
+            addresses: HashMap::new(),
+            generation: 0,
+            topology: 0,
+            instances: Vec::new(),
+            lease,
+            names: HashMap::new(),
+            revision: 0,
+            self_key,
+            services: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+
+    /// The service at the destination of a flow.
+    pub fn service(&self, tuple: &packet::Tuple) -> Option<key::Service> {
+        let address = Address {
+            ip: tuple.destination,
+            port: tuple.destination_port,
+            protocol: tuple.protocol,
+        };
+        self.addresses.get(&address).copied()
+    }
+
+    /// A target by key.
+    pub fn target(&self, target: key::Target) -> Option<&Target> {
+        self.targets.get(target.index())
+    }
+}
--- /dev/null
+++ b/lib/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Bytes in and out.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
