coordination: advance buckets on ticks and changes, not on every census

Cause: each census (100 a second and shard) and each heartbeat walked all buckets. Change: only ticks and changes do, and the rank of a bucket among the flexible ones is kept instead of hashed each time.

testutils: fixture that drives several instances' decisions in one thread.

--- a/lib/src/coordination/bucket.rs
+++ b/lib/src/coordination/bucket.rs
@@ -43,6 +43,8 @@
     pub copies: u32,
     /// Target of packets whose flow has no entry.
     pub fallback: key::Target,
+    /// The bucket is always tracked while the flexible share, in per mille, is above this.
+    pub flexible_from: u16,
     /// Instances known to hold the bucket's entries, one bit each.
     pub holders: u32,
     /// Default target.
@@ -115,17 +117,18 @@
     pub publish: bool,
 }
 
-/// Whether a bucket is among the always tracked ones for a share in per mille.
-pub fn is_flexible(service: key::Name, bucket: key::Bucket, share: u16) -> bool {
-    hash::score(!service.0, u64::from(bucket.0)) % 1_000 < u64::from(share)
+/// The share, in per mille, above which a bucket is always tracked; spread evenly over buckets.
+fn flexible_from(service: key::Name, bucket: usize) -> u16 {
+    (hash::score(!service.0, bucket as u64) % 1_000) as u16
 }
 
 impl Table {
     /// A table for a service that was not known before: nothing is settled, nothing is direct.
     pub fn new(service: key::Name, homes: &[key::Target], now: time::Instant) -> Self {
-        let bucket = |home: &key::Target| Bucket {
+        let bucket = |(index, home): (usize, &key::Target)| Bucket {
             copies: 0,
             fallback: *home,
+            flexible_from: flexible_from(service, index),
             holders: 0,
             home: *home,
             incomplete_until: time::Instant(0),
@@ -135,7 +138,7 @@
             tracked_at: now,
         };
         Self {
-            buckets: homes.iter().map(bucket).collect(),
+            buckets: homes.iter().enumerate().map(bucket).collect(),
             service,
         }
     }
@@ -229,7 +232,7 @@
                 continue;
             }
             let wanted = bucket.settle_until.is_some()
-                || is_flexible(self.service, number, circumstances.flexible_share)
+                || bucket.flexible_from < circumstances.flexible_share
                 || !(circumstances.is_fit)(bucket.home);
             let stage = next_stage(bucket, number, wanted, circumstances);
             if stage == bucket.stage {
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -107,6 +107,7 @@
     pub membership: membership::Membership,
     /// The sheet in force.
     pub sheet: Option<Arc<fleet::Sheet>>,
+    pub(crate) advance_due: bool,
     pub(crate) announce_due: bool,
     pub(crate) applied_topology: u64,
     pub(crate) censuses: Vec<replica::Census>,
@@ -153,6 +154,7 @@
             lease: view::Lease::default(),
             membership,
             sheet: None,
+            advance_due: true,
             announce_due: true,
             applied_topology: 0,
             censuses: vec![replica::Census::default(); shards],
@@ -234,9 +236,13 @@
         heartbeat: &message::Heartbeat,
     ) {
         let had_details = heartbeat.details.is_some();
+        let version_before = self.version_seen(from);
         if let Some(change) = self.membership.hear(now, from, heartbeat) {
             self.note_change(change);
         }
+        if had_details || version_before != self.version_seen(from) {
+            self.advance_due = true;
+        }
         if had_details {
             // The sender waits for the answer before it moves flows.
             self.heartbeat_due = time::Instant(0);
@@ -244,7 +250,7 @@
         }
         self.take_reports(now, from, &heartbeat.reports);
         self.update_leases();
-        self.advance(now);
+        self.advance_if_due(now);
     }
 
     fn take_reports(
@@ -272,6 +278,17 @@
         }
     }
 
+    /// Version of our details that a peer has applied.
+    fn version_seen(&self, peer: key::Instance) -> u32 {
+        self.membership.peers.get(&peer).map_or(0, |peer| peer.version_seen)
+    }
+
+    fn advance_if_due(&mut self, now: time::Instant) {
+        if self.advance_due || self.applied_topology != self.topology {
+            self.advance(now);
+        }
+    }
+
     fn note_change(&mut self, change: membership::Change) {
         match change {
             membership::Change::Appeared(peer) => {
@@ -309,10 +326,9 @@
         true
     }
 
-    /// Takes the result of an own probe.
-    pub fn on_probe(&mut self, now: time::Instant, target: key::Target, probe: message::Probe) {
+    /// Takes the result of an own probe; the next tick judges by it.
+    pub fn on_probe(&mut self, target: key::Target, probe: message::Probe) {
         self.health.note_probe(target, probe);
-        self.advance(now);
     }
 
     /// Takes the counts of a shard.
@@ -336,7 +352,7 @@
     }
 
     /// Takes what a shard's pass over its entries found.
-    pub fn on_census(&mut self, now: time::Instant, shard: usize, census: replica::Census) {
+    pub fn on_census(&mut self, shard: usize, census: replica::Census) {
         if let Some(kept) = self.censuses.get_mut(shard) {
             *kept = census;
         }
@@ -358,7 +374,6 @@
             }
         }
         self.update_leases();
-        self.advance(now);
     }
 
     /// Begins a planned stop.
@@ -473,6 +488,7 @@
 
     /// Moves buckets on and publishes what changed.
     fn advance(&mut self, now: time::Instant) {
+        self.advance_due = false;
         self.rerank(now);
         let progress = self.advance_buckets(now);
         if progress.announce || self.announce_due {
--- a/lib/src/transport/control.rs
+++ b/lib/src/transport/control.rs
@@ -142,7 +142,7 @@
                 self.platform_reachable = Some(reachable);
                 slog::info!(self.parts.log, "platform"; "reachable" => reachable);
             }
-            Event::Probed(target, probe) => self.parts.control.on_probe(now, target, probe),
+            Event::Probed(target, probe) => self.parts.control.on_probe(target, probe),
             Event::Stop => self.parts.control.leave(now),
             Event::Traffic(shard, event) => self.handle_traffic(now, shard, event),
         }
@@ -165,7 +165,7 @@
     fn handle_traffic(&mut self, now: time::Instant, shard: usize, event: traffic::Event) {
         match event {
             traffic::Event::Bytes(bytes) => self.parts.control.on_replica_bytes(bytes),
-            traffic::Event::Census(census) => self.parts.control.on_census(now, shard, census),
+            traffic::Event::Census(census) => self.parts.control.on_census(shard, census),
             traffic::Event::Counts(counts, entries) => {
                 self.entries = entries;
                 self.parts.control.on_counts(now, shard, &counts);
--- /dev/null
+++ b/lib/tests/scenario.rs
@@ -0,0 +1,83 @@
+//! What the tests of several instances share: a loaded fleet and checks of its flows.
+
+use std::time::Duration;
+
+use quetzal_lib::state::{key, packet};
+use quetzal_testutils::{caller, fleet, sheet};
+
+/// Time between a flow's packets.
+const GAP: Duration = Duration::from_millis(150);
+/// Time between new flows.
+const FLOW_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The Guild's services with a flexible share in per mille.
+pub fn services(share: u16) -> Vec<sheet::Service> {
+    vec![sheet::Service::new("rounds-board", 14, share), sheet::Service::new("proof-vault", 4, share)]
+}
+
+/// A fleet that serves the first sheet.
+pub fn started(options: fleet::Options, services: &[sheet::Service]) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(options);
+    fleet.publish(sheet::sheet(1, services));
+    fleet.run(Duration::from_secs(4));
+    for node in &fleet.nodes {
+        assert!(node.control.is_settled(), "instance not settled after its start");
+    }
+    fleet
+}
+
+/// Lets flows start and send for a time; every fourth goes to the second service and every eighth
+/// lives long.
+pub fn load(fleet: &mut fleet::Fleet, length: Duration) {
+    let count = (length.as_millis() / FLOW_INTERVAL.as_millis()) as usize;
+    for number in 0..count {
+        let service = usize::from(number % 4 == 0);
+        let life = if number % 8 == 0 { Duration::from_secs(25) } else { Duration::from_secs(3) };
+        fleet.start_flow(service, packet::Protocol::Tcp, life, GAP);
+        fleet.run(FLOW_INTERVAL);
+    }
+}
+
+/// Lets all flows come to their end.
+pub fn finish(fleet: &mut fleet::Fleet) {
+    fleet.run(Duration::from_secs(40));
+}
+
+/// Number of broken flows.
+pub fn broken(fleet: &fleet::Fleet) -> usize {
+    fleet.count_flows(|state| *state == caller::State::Broken)
+}
+
+/// Number of flows whose first packets got no answer.
+pub fn given_up(fleet: &fleet::Fleet) -> usize {
+    fleet.count_flows(|state| *state == caller::State::GivenUp)
+}
+
+/// Every packet of every flow reached one target.
+pub fn assert_one_target_each(fleet: &fleet::Fleet) {
+    for (number, flow) in fleet.flows.iter().enumerate() {
+        assert!(flow.targets.len() <= 1, "flow {number} reached {:?}", flow.targets);
+    }
+}
+
+/// No packet reached a target of another service.
+pub fn assert_right_service(fleet: &fleet::Fleet, services: &[sheet::Service]) {
+    let sheet = sheet::sheet(1, services);
+    for flow in &fleet.flows {
+        let allowed: Vec<key::Name> = sheet
+            .targets
+            .iter()
+            .filter(|target| target.service.index() == flow.service)
+            .map(|target| target.id(&sheet.services[flow.service]))
+            .collect();
+        assert!(flow.targets.iter().all(|target| allowed.contains(target)));
+    }
+}
+
+/// Stable identifier of a target.
+pub fn target_name(services: &[sheet::Service], service: usize, number: u32) -> key::Name {
+    let sheet = sheet::sheet(1, services);
+    let name = format!("{}-{number}", services[service].name);
+    let target = sheet.targets.iter().find(|target| target.name == name.as_str());
+    target.expect("a target of the sheet").id(&sheet.services[service])
+}
--- /dev/null
+++ b/testutils/src/fleet.rs
@@ -0,0 +1,531 @@
+//! Several instances' decisions in one thread, under a clock of the test's own.
+//!
+//! Every packet of every flow goes to an instance drawn at random. Messages between instances are
+//! typed values that a `network::Network` delays, loses, repeats or cuts; their encoded size is
+//! counted. Nodes can be killed, restarted, paused and told to leave.
+
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzal_lib::coordination::{control, health, membership, message, placement, steering};
+use quetzal_lib::protocol::wire;
+use quetzal_lib::state::{count, fleet, key, packet, random, time, view};
+
+use crate::{caller, network};
+
+/// Period of a shard's own work.
+const SHARD_TICK: Duration = Duration::from_millis(10);
+/// Period of the control decisions.
+const CONTROL_TICK: Duration = Duration::from_millis(50);
+/// Time between a shard's counts.
+const COUNT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for a sheet to reach an instance from the platform or a peer.
+const SHEET_DELAY: Duration = Duration::from_millis(30);
+/// Entries looked at in one tick.
+const SWEEP_SLOTS: usize = 8_192;
+/// Origin of the test's clock.
+const ORIGIN: time::Instant = time::Instant(3_600_000_000);
+
+/// What happens at a time.
+#[derive(Clone, Debug)]
+enum Action {
+    ControlTick,
+    Counts,
+    Heartbeat(key::Instance, Box<message::Heartbeat>),
+    Packet(usize, steering::Packet),
+    Probe,
+    SendFlow(usize),
+    ShardTick,
+    Sheet(Arc<fleet::Sheet>),
+    Traffic(key::Instance, message::Traffic),
+}
+
+#[derive(Clone, Debug)]
+struct Event {
+    action: Action,
+    at: time::Instant,
+    /// Incarnation of the node that the event is for; an event for a former one is void.
+    life: u32,
+    node: usize,
+    sequence: u64,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    /// The earliest event is the greatest, so that the heap gives it first.
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
+
+/// One instance.
+pub struct Node {
+    /// Control decisions.
+    pub control: control::Control,
+    /// Steering of its only shard.
+    pub shard: steering::Shard,
+    /// View in force.
+    pub view: Arc<view::View>,
+    held: BTreeMap<key::Held, (usize, packet::Kind)>,
+    life: u32,
+    paused_until: time::Instant,
+    probes: Vec<(key::Target, SocketAddr)>,
+    running: bool,
+    watching: bool,
+}
+
+/// How a fleet is set up.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Bytes a second for replicas.
+    pub budget: u64,
+    /// Bounds of each shard.
+    pub limits: steering::Limits,
+    /// Number of instances.
+    pub nodes: usize,
+    /// Choice of targets.
+    pub policy: placement::Policy,
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Number of zones.
+    pub zones: usize,
+}
+
+impl Options {
+    /// Five instances in four zones.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            budget: u64::MAX,
+            limits: steering::Limits::default(),
+            nodes: 5,
+            policy: placement::Policy::default(),
+            seed,
+            zones: 4,
+        }
+    }
+}
+
+/// The fleet, its callers and its targets.
+pub struct Fleet {
+    /// Bytes of frames between instances.
+    pub control_bytes: u64,
+    /// All flows so far.
+    pub flows: Vec<caller::Flow>,
+    /// Probe answer of each target that is not healthy, by health address.
+    pub ills: BTreeMap<SocketAddr, message::Probe>,
+    /// The network between instances.
+    pub network: network::Network,
+    /// Instances.
+    pub nodes: Vec<Node>,
+    /// Present time.
+    pub now: time::Instant,
+    /// Whether the platform answers.
+    pub platform_up: bool,
+    /// First packets forwarded, with time and target, in order.
+    pub placements: Vec<(time::Instant, key::Name, usize)>,
+    /// Whether nodes are chosen by the fabric although dead, as by a lagging list.
+    pub sprayed_to_dead: bool,
+    /// Flows that were refused although a packet of them had been forwarded.
+    pub false_refusals: Vec<usize>,
+    /// Targets that take no packets, by name.
+    pub dead_targets: Vec<key::Name>,
+    events: BinaryHeap<Event>,
+    options: Options,
+    published: Option<Arc<fleet::Sheet>>,
+    random: random::Source,
+    sequence: u64,
+}
+
+fn ring() -> wire::Ring {
+    wire::Ring { keys: vec![wire::Key { number: 1, secret: (1, 2) }] }
+}
+
+fn make_node(options: &Options, number: usize, life: u32, now: time::Instant) -> Node {
+    let self_key = key::Instance(number as u16);
+    let address = |peer: usize| SocketAddr::from(([127, 0, 1, peer as u8 + 1], 7_000));
+    let config = control::Config {
+        budget: options.budget,
+        health: health::Config::default(),
+        incarnation: life * 100,
+        membership: membership::Config::default(),
+        peers: (0..options.nodes)
+            .filter(|peer| *peer != number)
+            .map(|peer| (key::Instance(peer as u16), address(peer)))
+            .collect(),
+        self_key,
+        shards: 1,
+        traffic_port: 6_080,
+        zone: format!("zone-{}", number % options.zones).into(),
+    };
+    let seed = options.seed ^ (number as u64 + 1).wrapping_mul(0x9E37_79B9) ^ u64::from(life) << 40;
+    let control = control::Control::new(config, random::Source::new(seed), now);
+    let view = Arc::new(view::View::empty(self_key, control.lease.clone()));
+    Node {
+        shard: steering::Shard::new(options.limits, options.policy, random::Source::new(!seed)),
+        control,
+        view,
+        held: BTreeMap::new(),
+        life,
+        paused_until: now,
+        probes: Vec::new(),
+        running: true,
+        watching: false,
+    }
+}
+
+impl Fleet {
+    /// A fleet whose instances start now, without a sheet.
+    pub fn new(options: Options) -> Self {
+        let mut fleet = Self {
+            control_bytes: 0,
+            flows: Vec::new(),
+            ills: BTreeMap::new(),
+            network: network::Network::new(options.nodes),
+            nodes: (0..options.nodes).map(|node| make_node(&options, node, 1, ORIGIN)).collect(),
+            now: ORIGIN,
+            platform_up: true,
+            placements: Vec::new(),
+            sprayed_to_dead: false,
+            false_refusals: Vec::new(),
+            dead_targets: Vec::new(),
+            events: BinaryHeap::new(),
+            random: random::Source::new(options.seed),
+            options,
+            published: None,
+            sequence: 0,
+        };
+        for node in 0..fleet.nodes.len() {
+            fleet.schedule_life(node);
+        }
+        fleet
+    }
+
+    fn schedule_life(&mut self, node: usize) {
+        self.push(node, self.now, Action::ControlTick);
+        self.push(node, self.now, Action::ShardTick);
+        self.push(node, self.now, Action::Counts);
+        self.push(node, self.now, Action::Probe);
+    }
+
+    fn push(&mut self, node: usize, at: time::Instant, action: Action) {
+        self.sequence += 1;
+        let life = self.nodes[node].life;
+        self.events.push(Event { action, at, life, node, sequence: self.sequence });
+    }
+
+    /// Publishes a sheet at the platform.
+    pub fn publish(&mut self, sheet: fleet::Sheet) {
+        self.published = Some(Arc::new(sheet));
+        self.offer_published();
+    }
+
+    /// Watchers get the published sheet while the platform answers.
+    fn offer_published(&mut self) {
+        let Some(sheet) = self.published.clone().filter(|_| self.platform_up) else {
+            return;
+        };
+        for node in 0..self.nodes.len() {
+            let behind = self.nodes[node].control.revision() < sheet.revision;
+            if self.nodes[node].running && self.nodes[node].watching && behind {
+                self.push(node, self.now + SHEET_DELAY, Action::Sheet(Arc::clone(&sheet)));
+            }
+        }
+    }
+
+    /// Kills a node.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].running = false;
+        self.nodes[node].life += 1;
+        self.nodes[node].held.clear();
+    }
+
+    /// Starts a killed node anew.
+    pub fn restart(&mut self, node: usize) {
+        let life = self.nodes[node].life + 1;
+        self.nodes[node] = make_node(&self.options, node, life, self.now);
+        self.schedule_life(node);
+    }
+
+    /// Pauses a node: what happens to it waits until then.
+    pub fn pause(&mut self, node: usize, length: Duration) {
+        self.nodes[node].paused_until = self.now + length;
+    }
+
+    /// Begins the planned stop of a node.
+    pub fn leave(&mut self, node: usize) {
+        let now = self.now;
+        self.nodes[node].control.leave(now);
+        self.carry_out(node);
+    }
+
+    /// Whether a node runs.
+    pub fn is_running(&self, node: usize) -> bool {
+        self.nodes[node].running
+    }
+
+    /// Starts a flow and returns its number.
+    pub fn start_flow(
+        &mut self,
+        service: usize,
+        protocol: packet::Protocol,
+        life: Duration,
+        gap: Duration,
+    ) -> usize {
+        let number = self.flows.len();
+        let flow = caller::Flow::new(number, service, protocol, self.now + life, gap);
+        self.flows.push(flow);
+        self.push(0, self.now, Action::SendFlow(number));
+        number
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.events.peek().is_some_and(|event| event.at <= end) {
+            let Some(event) = self.events.pop() else {
+                break;
+            };
+            self.now = self.now.max(event.at);
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Action::SendFlow(flow) = event.action {
+            self.send_flow(flow);
+            return;
+        }
+        let node = event.node;
+        if !self.nodes[node].running || self.nodes[node].life != event.life {
+            return;
+        }
+        if self.nodes[node].paused_until > self.now {
+            let until = self.nodes[node].paused_until;
+            self.events.push(Event { at: until, ..event });
+            return;
+        }
+        let now = self.now;
+        let this = &mut self.nodes[node];
+        match event.action {
+            Action::ControlTick => {
+                this.control.tick(now);
+                self.push(node, now + CONTROL_TICK, Action::ControlTick);
+                self.offer_published();
+            }
+            Action::Counts => self.report_counts(node),
+            Action::Heartbeat(from, heartbeat) => this.control.on_heartbeat(now, from, &heartbeat),
+            Action::Packet(flow, packet) => self.steer(node, flow, packet),
+            Action::Probe => self.probe(node),
+            Action::SendFlow(_) => {}
+            Action::ShardTick => {
+                let view = Arc::clone(&this.view);
+                if let Some(census) = this.shard.tick(&view, now, SWEEP_SLOTS) {
+                    this.control.on_census(0, census);
+                }
+                self.push(node, now + SHARD_TICK, Action::ShardTick);
+            }
+            Action::Sheet(sheet) => {
+                this.control.on_sheet(now, sheet);
+            }
+            Action::Traffic(from, message) => {
+                let view = Arc::clone(&this.view);
+                this.shard.receive(&view, now, from, message);
+            }
+        }
+        self.nodes[node].control.send_heartbeats(now);
+        self.carry_out(node);
+        self.release(node);
+        self.send_messages(node);
+    }
+
+    fn report_counts(&mut self, node: usize) {
+        let now = self.now;
+        let this = &mut self.nodes[node];
+        let targets = this.view.targets.len();
+        let load = this.shard.load();
+        let counts: Vec<control::Count> = (0..targets)
+            .map(key::Target::from)
+            .map(|target| control::Count {
+                flows: load.open(target) as i32,
+                repeats: load.take_repeats(target),
+                target,
+            })
+            .collect();
+        this.control.on_counts(now, 0, &counts);
+        self.push(node, now + COUNT_INTERVAL, Action::Counts);
+    }
+
+    fn probe(&mut self, node: usize) {
+        for (target, address) in self.nodes[node].probes.clone() {
+            let answer = self.ills.get(&address).copied().unwrap_or(message::Probe::Healthy);
+            self.nodes[node].control.on_probe(target, answer);
+        }
+        let interval = health::Config::default().interval;
+        self.push(node, self.now + interval, Action::Probe);
+    }
+
+    fn send_flow(&mut self, number: usize) {
+        let now = self.now;
+        let Some((kind, wait)) = self.flows[number].next_packet(now) else {
+            return;
+        };
+        self.push(0, now + wait, Action::SendFlow(number));
+        let flow = &self.flows[number];
+        let packet = steering::Packet {
+            flow: flow.key,
+            header: packet::Header { kind, tuple: flow.tuple },
+            hops: steering::MAX_HOPS,
+        };
+        let open: Vec<usize> = (0..self.nodes.len())
+            .filter(|node| self.nodes[*node].running || self.sprayed_to_dead)
+            .collect();
+        if !open.is_empty() {
+            let node = open[self.random.below(open.len())];
+            self.push(node, now, Action::Packet(number, packet));
+        }
+    }
+
+    fn steer(&mut self, node: usize, flow: usize, packet: steering::Packet) {
+        let view = Arc::clone(&self.nodes[node].view);
+        let verdict = self.nodes[node].shard.steer(&view, self.now, packet);
+        self.apply(node, flow, packet.header.kind, verdict);
+    }
+
+    fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: steering::Verdict) {
+        match verdict {
+            steering::Verdict::Drop(reason) => self.nodes[node].shard.counters.increment(reason),
+            steering::Verdict::Forward(target) => self.arrive(node, flow, kind, target),
+            steering::Verdict::Hold(key) => {
+                self.nodes[node].held.insert(key, (flow, kind));
+            }
+            steering::Verdict::Refuse => self.refuse(flow),
+            steering::Verdict::Relay(peer, hops) => {
+                self.nodes[node].shard.counters.increment(count::Counter::Relayed);
+                let this = &self.flows[flow];
+                let packet = steering::Packet {
+                    flow: this.key,
+                    header: packet::Header { kind, tuple: this.tuple },
+                    hops,
+                };
+                for at in self.network.arrivals(self.now, node, peer.index(), &mut self.random) {
+                    self.push(peer.index(), at, Action::Packet(flow, packet));
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, node: usize, flow: usize, kind: packet::Kind, target: key::Target) {
+        let Some(name) = self.nodes[node].view.target(target).map(|target| target.name) else {
+            return;
+        };
+        let first = self.flows[flow].placed_at.is_none();
+        if first && matches!(kind, packet::Kind::First | packet::Kind::Datagram) {
+            self.placements.push((self.now, name, flow));
+        }
+        if !self.dead_targets.contains(&name) {
+            self.flows[flow].arrive(self.now, name, kind);
+        }
+    }
+
+    fn refuse(&mut self, flow: usize) {
+        if self.flows[flow].placed_at.is_some() {
+            self.false_refusals.push(flow);
+        }
+        self.flows[flow].state = caller::State::Refused;
+    }
+
+    fn release(&mut self, node: usize) {
+        let released: Vec<(key::Held, steering::Verdict)> =
+            self.nodes[node].shard.released().collect();
+        for (key, verdict) in released {
+            if let Some((flow, kind)) = self.nodes[node].held.remove(&key) {
+                self.apply(node, flow, kind, verdict);
+            }
+        }
+    }
+
+    fn send_messages(&mut self, node: usize) {
+        let mut messages = Vec::new();
+        self.nodes[node].shard.outgoing(|peer, message| messages.push((peer, message)));
+        let from = key::Instance(node as u16);
+        let mut bytes = 0;
+        for (peer, message) in messages {
+            bytes += wire::encode(&ring(), wire::Kind::Traffic, from, &message).len() as u64;
+            for at in self.network.arrivals(self.now, node, peer.index(), &mut self.random) {
+                self.push(peer.index(), at, Action::Traffic(from, message.clone()));
+            }
+        }
+        self.control_bytes += bytes;
+        self.nodes[node].control.on_replica_bytes(bytes);
+    }
+
+    fn carry_out(&mut self, node: usize) {
+        let outputs: Vec<control::Output> = self.nodes[node].control.outputs().collect();
+        let from = key::Instance(node as u16);
+        for output in outputs {
+            match output {
+                control::Output::Fetch(peer) => self.fetch(node, peer.index()),
+                control::Output::Forget(peer) => self.nodes[node].shard.forget_copies(peer),
+                control::Output::Heartbeat(peer, heartbeat) => {
+                    let frame = wire::encode(&ring(), wire::Kind::Heartbeat, from, &heartbeat);
+                    self.control_bytes += frame.len() as u64;
+                    let heartbeat = Box::new(heartbeat);
+                    let to = peer.index();
+                    for at in self.network.arrivals(self.now, node, to, &mut self.random) {
+                        self.push(to, at, Action::Heartbeat(from, heartbeat.clone()));
+                    }
+                }
+                control::Output::Log(_) => {}
+                control::Output::Probe(list) => self.nodes[node].probes = list,
+                control::Output::Publish(view) => self.nodes[node].view = view,
+                control::Output::Watch(wanted) => self.nodes[node].watching = wanted,
+            }
+        }
+    }
+
+    fn fetch(&mut self, node: usize, peer: usize) {
+        let sheet = self.nodes[peer].control.sheet.clone();
+        if let Some(sheet) = sheet.filter(|_| {
+            self.nodes[peer].running && self.network.connects(node, peer)
+        }) {
+            self.push(node, self.now + SHEET_DELAY, Action::Sheet(sheet));
+        }
+    }
+
+    /// Number of flows in a state.
+    pub fn count_flows(&self, matches: impl Fn(&caller::State) -> bool) -> usize {
+        self.flows.iter().filter(|flow| matches(&flow.state)).count()
+    }
+
+    /// Sum of a counter over all nodes.
+    pub fn counter(&self, counter: count::Counter) -> u64 {
+        self.nodes.iter().map(|node| node.shard.counters.get(counter)).sum()
+    }
+
+    /// Open flows on each target, by the targets' own count.
+    pub fn open_by_target(&self) -> BTreeMap<key::Name, usize> {
+        let mut open = BTreeMap::new();
+        for flow in &self.flows {
+            if let caller::State::Open(target) = flow.state {
+                *open.entry(target).or_default() += 1;
+            }
+        }
+        open
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Test utilities: several instances' decisions driven in one thread, without sockets.
+
+pub mod caller;
+pub mod fleet;
+pub mod network;
+pub mod sheet;
