coordination: find silent targets by a share of repeats; never guess after losses

Causes found by the failure tests, each seen failing first: - A held first packet counted as a repeat on every retry, so healthy targets were ejected. Only arrivals count now, and a share of the first packets is needed. - A silent target that lies was ejected after 10 to 12 s (2.7 flows a second to it, 5 instances); probation and a doubling penalty now keep it out. - An instance that woke late acted on what waited in its sockets. It now notices the pause before it handles anything, and drops what waited. - An instance cut off alone sent unknown packets of tracked buckets to the fallback. It now knows that it is the smaller part and holds them. - An entry whose first packet never left was used later. It is withdrawn. - Entries lost with both holders were guessed after the idle time. They are remembered as lost instead. - A held packet could be refused although a repeat had been forwarded elsewhere.

--- a/lib/src/coordination/beat.rs
+++ b/lib/src/coordination/beat.rs
@@ -101,11 +101,12 @@
             };
             let flows = self.own_flows(key);
             let probe = self.health.own_result(key);
-            let repeats = self.pending_repeats.remove(&key).unwrap_or(0);
+            let starts = self.pending_starts.remove(&key).unwrap_or_default();
             reports.push(message::Report {
                 flows,
                 probe,
-                repeats,
+                repeats: starts.repeated,
+                starts: starts.first,
                 target: name,
             });
         }
--- a/lib/src/coordination/bucket.rs
+++ b/lib/src/coordination/bucket.rs
@@ -191,7 +191,7 @@
             let next_pair = rank::pair(self.service, number, ranks.prospective);
             let lost = bucket.holders != 0 && bucket.holders & ranks.alive == 0;
             if lost && !bucket.owner.is_some_and(|owner| was_direct(owner, number)) {
-                bucket.incomplete_until = now + idle;
+                bucket.incomplete_until = bucket.incomplete_until.max(now + idle);
             }
             if lost {
                 bucket.holders = 0;
@@ -208,6 +208,34 @@
         }
     }
 
+    /// Notes that this instance may be on the smaller side of a partition: flows that the other
+    /// side places in tracked buckets are not known here.
+    pub fn note_minority(
+        &mut self,
+        self_key: key::Instance,
+        was_direct: impl Fn(key::Instance, key::Bucket) -> bool,
+    ) {
+        for (index, bucket) in self.buckets.iter_mut().enumerate() {
+            let direct = bucket.owner.is_some_and(|owner| {
+                if owner == self_key {
+                    bucket.stage == Stage::Direct
+                } else {
+                    was_direct(owner, key::Bucket::from(index))
+                }
+            });
+            if !direct {
+                bucket.incomplete_until = time::Instant::FAR;
+            }
+        }
+    }
+
+    /// Notes that this instance is no longer on the smaller side of a partition.
+    pub fn end_minority(&mut self, now: time::Instant) {
+        for bucket in &mut self.buckets {
+            bucket.incomplete_until = bucket.incomplete_until.min(now);
+        }
+    }
+
     /// Notes that owners and deputies hold all entries, as they do once the fleet is settled.
     pub fn note_settled(&mut self, current: &[rank::Candidate]) {
         for (index, bucket) in self.buckets.iter_mut().enumerate() {
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -81,6 +81,8 @@
     pub flows: i32,
     /// Repeated first packets since the last report.
     pub repeats: u16,
+    /// First packets of new flows since the last report.
+    pub starts: u16,
     /// The target.
     pub target: key::Target,
 }
@@ -118,12 +120,14 @@
     pub(crate) heartbeat_due: time::Instant,
     pub(crate) heartbeat_sent: time::Instant,
     pub(crate) handed_topology: Option<u64>,
+    pub(crate) minority: bool,
     pub(crate) outputs: Vec<Output>,
     pub(crate) owners_topology: Option<u64>,
     pub(crate) peer_flows: BTreeMap<key::Instance, HashMap<key::Target, i32>>,
-    pub(crate) pending_repeats: HashMap<key::Target, u16>,
+    pub(crate) pending_starts: HashMap<key::Target, health::Starts>,
     pub(crate) probed: Vec<(key::Target, SocketAddr)>,
     pub(crate) publish_due: bool,
+    pub(crate) quorum: u32,
     pub(crate) random: random::Source,
     pub(crate) ranked: u32,
     pub(crate) report_due: time::Instant,
@@ -168,12 +172,14 @@
             heartbeat_due: now,
             heartbeat_sent: time::Instant(0),
             handed_topology: None,
+            minority: false,
             outputs: Vec::new(),
             owners_topology: None,
             peer_flows: BTreeMap::new(),
-            pending_repeats: HashMap::new(),
+            pending_starts: HashMap::new(),
             probed: Vec::new(),
             publish_due: true,
+            quorum: 0,
             random,
             ranked: 0,
             report_due: now,
@@ -235,6 +241,7 @@
         from: key::Instance,
         heartbeat: &message::Heartbeat,
     ) {
+        self.note_time(now);
         let had_details = heartbeat.details.is_some();
         let version_before = self.version_seen(from);
         if let Some(change) = self.membership.hear(now, from, heartbeat) {
@@ -270,17 +277,21 @@
             if let Some(probe) = report.probe {
                 self.health.note_report(now, from, target, probe);
             }
-            if report.repeats > 0 {
-                self.health
-                    .note_repeats(now, target, u32::from(report.repeats));
-            }
+            let starts = health::Starts {
+                first: report.starts,
+                repeated: report.repeats,
+            };
+            self.health.note_starts(now, target, starts);
             self.publish_due = true;
         }
     }
 
     /// Version of our details that a peer has applied.
     fn version_seen(&self, peer: key::Instance) -> u32 {
-        self.membership.peers.get(&peer).map_or(0, |peer| peer.version_seen)
+        self.membership
+            .peers
+            .get(&peer)
+            .map_or(0, |peer| peer.version_seen)
     }
 
     fn advance_if_due(&mut self, now: time::Instant) {
@@ -315,6 +326,7 @@
         if sheet.revision <= self.revision() {
             return false;
         }
+        self.note_time(now);
         self.ledger.apply(now, &sheet, self.version + 1);
         self.outputs.push(Output::Log(Event::Sheet(sheet.revision)));
         self.sheet = Some(sheet);
@@ -334,12 +346,15 @@
     /// Takes the counts of a shard.
     pub fn on_counts(&mut self, now: time::Instant, shard: usize, counts: &[Count]) {
         for count in counts {
-            if count.repeats > 0 {
-                self.health
-                    .note_repeats(now, count.target, u32::from(count.repeats));
-                let pending = self.pending_repeats.entry(count.target).or_default();
-                *pending = pending.saturating_add(count.repeats);
-            }
+            let starts = health::Starts {
+                first: count.starts,
+                repeated: count.repeats,
+            };
+            self.health.note_starts(now, count.target, starts);
+            self.pending_starts
+                .entry(count.target)
+                .or_default()
+                .add(starts);
             if let Some(kept) = self.counts.get_mut(shard) {
                 kept.insert(count.target, *count);
             }
@@ -407,10 +422,7 @@
 
     /// Notes the passing of time.
     pub fn tick(&mut self, now: time::Instant) {
-        self.ticked_at = now;
-        for change in self.membership.tick(now) {
-            self.note_change(change);
-        }
+        self.note_time(now);
         self.step_phase(now);
         self.adjust_shares(now);
         self.judge_targets(now);
@@ -420,6 +432,14 @@
         self.send_heartbeats(now);
     }
 
+    /// Notes deaths, and a pause of this instance before it acts on anything that waited meanwhile.
+    fn note_time(&mut self, now: time::Instant) {
+        self.ticked_at = now;
+        for change in self.membership.tick(now) {
+            self.note_change(change);
+        }
+    }
+
     fn step_phase(&mut self, now: time::Instant) {
         if self.sheet.is_some() && self.membership.may_serve(now) {
             self.enter(message::Phase::Serving);
@@ -513,7 +533,9 @@
             self.ranked_topology = self.topology;
             self.announce_due = true;
         }
-        if self.is_settled() {
+        self.note_minority(now, ranked);
+        if self.is_settled() && !self.minority {
+            self.quorum = ranked;
             let current = self.membership.candidates(ranked);
             for key in self.service_keys() {
                 if let Some(service) = self.ledger.services.get_mut(key) {
@@ -544,16 +566,38 @@
             service
                 .buckets
                 .rerank(&ranks, now, service.item.idle_timeout, |owner, number| {
-                    peers
-                        .get(&owner)
-                        .and_then(|peer| peer.direct.get(&name))
-                        .is_some_and(|direct| direct.get(number))
+                    is_direct(peers, owner, name, number)
                 });
         }
         self.applied_topology = self.topology;
         self.publish_due = true;
     }
 
+    /// Whether this instance was left with at most half of the instances that agreed last. It then
+    /// may be cut off, and does not guess where flows of tracked buckets went.
+    fn note_minority(&mut self, now: time::Instant, ranked: u32) {
+        let kept = (ranked & self.quorum).count_ones();
+        let all = self.quorum.count_ones();
+        let lowest = self.quorum & self.quorum.wrapping_neg();
+        let minority = kept * 2 < all || (kept * 2 == all && ranked & lowest == 0 && all > 0);
+        if minority == self.minority {
+            return;
+        }
+        self.minority = minority;
+        self.publish_due = true;
+        let (self_key, peers) = (self.config.self_key, &self.membership.peers);
+        for (_, service) in self.ledger.services.iter_mut() {
+            if minority {
+                let name = service.buckets.service;
+                service.buckets.note_minority(self_key, |owner, number| {
+                    is_direct(peers, owner, name, number)
+                });
+            } else {
+                service.buckets.end_minority(now);
+            }
+        }
+    }
+
     fn service_keys(&self) -> Vec<key::Service> {
         self.ledger.services.iter().map(|(key, _)| key).collect()
     }
@@ -599,6 +643,19 @@
     }
 }
 
+/// Whether an owner's last word, whatever its revision, is that a bucket is direct.
+fn is_direct(
+    peers: &BTreeMap<key::Instance, membership::Peer>,
+    owner: key::Instance,
+    service: key::Name,
+    number: key::Bucket,
+) -> bool {
+    peers
+        .get(&owner)
+        .and_then(|peer| peer.direct.get(&service))
+        .is_some_and(|direct| direct.get(number))
+}
+
 /// The next flexible share: a quarter less when replicas cost more than the budget, slowly back up
 /// to what the sheet allows when they cost clearly less.
 fn next_share(share: u16, allowed: u16, rate: u64, budget: u64) -> u16 {
--- a/lib/src/coordination/health.rs
+++ b/lib/src/coordination/health.rs
@@ -11,7 +11,7 @@
 use crate::state::{key, time, view};
 
 /// Thresholds of the health decisions.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
     /// Time between probes of one instance.
     pub interval: time::Duration,
@@ -19,12 +19,16 @@
     pub failures: u32,
     /// Good probes in a row that return it.
     pub successes: u32,
-    /// Repeated first packets within the window that eject a target.
-    pub repeats: u32,
-    /// Window in which repeats are counted.
-    pub window: time::Duration,
-    /// Time for which repeats keep a target ejected.
+    /// Repeated first packets that eject a target, if they are also a large enough share.
+    pub repeats: f64,
+    /// Share of the first packets that must be repeated to eject a target.
+    pub repeated_share: f64,
+    /// Time in which half of the counted first packets is forgotten.
+    pub half_life: time::Duration,
+    /// Time for which repeats keep a target ejected at first; it doubles with each ejection.
     pub penalty: time::Duration,
+    /// Longest time for which repeats keep a target ejected.
+    pub penalty_max: time::Duration,
     /// Largest share of a service's targets that may be ejected, in per cent.
     pub ejected_percent: usize,
     /// Time over which a returning or cold target takes its load.
@@ -39,9 +43,11 @@
             interval: time::Duration::from_millis(500),
             failures: 3,
             successes: 2,
-            repeats: 4,
-            window: time::Duration::from_secs(2),
+            repeats: 2.5,
+            repeated_share: 0.05,
+            half_life: time::Duration::from_secs(3),
             penalty: time::Duration::from_secs(5),
+            penalty_max: time::Duration::from_secs(80),
             ejected_percent: 50,
             slow_start: time::Duration::from_secs(10),
             report_age: time::Duration::from_secs(5),
@@ -65,6 +71,23 @@
     pub fitness: view::Fitness,
 }
 
+/// First packets to a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Starts {
+    /// Of new flows.
+    pub first: u16,
+    /// Sent again, since no answer came.
+    pub repeated: u16,
+}
+
+impl Starts {
+    /// Adds more.
+    pub fn add(&mut self, more: Self) {
+        self.first = self.first.saturating_add(more.first);
+        self.repeated = self.repeated.saturating_add(more.repeated);
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     at: time::Instant,
@@ -78,11 +101,13 @@
     ejected_at: Option<time::Instant>,
     good_streak: u32,
     own: Option<message::Probe>,
+    penalty: time::Duration,
     penalty_until: time::Instant,
-    repeats: u32,
+    repeated: f64,
     reports: BTreeMap<key::Instance, Report>,
     started_at: Option<time::Instant>,
-    window_from: time::Instant,
+    starts: f64,
+    starts_at: time::Instant,
 }
 
 impl Default for Record {
@@ -92,11 +117,13 @@
             ejected_at: None,
             good_streak: 0,
             own: None,
+            penalty: time::Duration::ZERO,
             penalty_until: time::Instant(0),
-            repeats: 0,
+            repeated: 0.0,
             reports: BTreeMap::new(),
             started_at: None,
-            window_from: time::Instant(0),
+            starts: 0.0,
+            starts_at: time::Instant(0),
         }
     }
 }
@@ -168,18 +195,29 @@
         record.reports.insert(from, Report { at: now, probe });
     }
 
-    /// Takes repeated first packets, counted here or by a peer.
-    pub fn note_repeats(&mut self, now: time::Instant, target: key::Target, repeats: u32) {
+    /// Takes first packets counted here or by a peer. A target that many of them are repeated to
+    /// does not answer, whatever its endpoint says.
+    pub fn note_starts(&mut self, now: time::Instant, target: key::Target, starts: Starts) {
         let config = self.config;
         let record = self.records.entry(target).or_default();
-        if now.since(record.window_from) > config.window {
-            record.window_from = now;
-            record.repeats = 0;
-        }
-        record.repeats += repeats;
-        if record.repeats >= config.repeats {
-            record.penalty_until = now + config.penalty;
-            record.repeats = 0;
+        let age = now.since(record.starts_at).as_secs_f64();
+        let kept = 0.5f64.powf(age / config.half_life.as_secs_f64());
+        record.starts_at = now;
+        record.starts = record.starts * kept + f64::from(starts.first);
+        record.repeated = record.repeated * kept + f64::from(starts.repeated);
+        // A target on probation after an ejection gets no second chance.
+        let on_probation = !record.penalty.is_zero()
+            && record
+                .started_at
+                .is_some_and(|at| now.since(at) < config.slow_start);
+        let needed = if on_probation { 1.0 } else { config.repeats };
+        let enough =
+            record.repeated >= needed && record.repeated >= config.repeated_share * record.starts;
+        if starts.repeated > 0 && enough && now >= record.penalty_until {
+            let longer = (record.penalty * 2).min(config.penalty_max);
+            record.penalty = if on_probation { longer } else { config.penalty };
+            record.penalty_until = now + record.penalty;
+            record.repeated = 0.0;
         }
     }
 
--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -49,8 +49,10 @@
     pub flows: i32,
     /// Result of the sender's probes, none if it does not probe the target.
     pub probe: Option<Probe>,
-    /// First packets that were repeated lately, evidence against the target.
+    /// First packets that were repeated since the last report, evidence against the target.
     pub repeats: u16,
+    /// First packets of new flows since the last report.
+    pub starts: u16,
     /// The target.
     pub target: key::Name,
 }
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -6,7 +6,7 @@
 //! it go missing, so a death, a join, a healed partition and a lost frame need no code of their
 //! own.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::coordination::{message, steering};
 use crate::state::{count, flow, key, time, view};
@@ -26,10 +26,10 @@
 /// Replicas requested but not acknowledged, and messages to send.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    ends: HashMap<key::Instance, Vec<flow::Key>>,
-    kept: HashMap<key::Instance, Vec<u64>>,
-    pending: HashMap<key::Entry, Pending>,
-    places: HashMap<key::Instance, Vec<message::Place>>,
+    ends: BTreeMap<key::Instance, Vec<flow::Key>>,
+    kept: BTreeMap<key::Instance, Vec<u64>>,
+    pending: BTreeMap<key::Entry, Pending>,
+    places: BTreeMap<key::Instance, Vec<message::Place>>,
     /// Whether the running pass found every needed replica in place.
     pass_clean: bool,
     /// Whether the running pass found every foreign entry known to its owner.
@@ -294,6 +294,14 @@
             self.sweep_one(view, now, *key);
         }
         self.replicas.sweep_keys = keys;
+        if complete {
+            let idle = view
+                .services
+                .iter()
+                .map(|service| service.idle_timeout)
+                .max();
+            self.forget_lost(now, idle.unwrap_or_default());
+        }
         complete.then(|| self.finish_pass(view))
     }
 
@@ -457,7 +465,7 @@
 }
 
 fn drain<T: Clone>(
-    queues: &mut HashMap<key::Instance, Vec<T>>,
+    queues: &mut BTreeMap<key::Instance, Vec<T>>,
     send: &mut impl FnMut(key::Instance, message::Traffic),
     wrap: impl Fn(Vec<T>) -> message::Traffic,
 ) {
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -6,13 +6,18 @@
 //! Any other instance relays to the owner. An instance whose leases have run out does not rely on
 //! what it knew of the buckets: it relays, or holds the packet until it knows again.
 
-use crate::coordination::{placement, replica};
+use std::collections::HashMap;
+
+use crate::coordination::{health, placement, replica};
 use crate::state::{arena, count, flow, key, packet, random, time, view};
 
 /// Relays that a packet may take before it is dropped.
 pub const MAX_HOPS: u8 = 2;
 /// Longest time that a packet is held.
 pub const MAX_HOLD: time::Duration = time::Duration::from_millis(1_800);
+/// Pause of a traffic thread after which what waited for it is too old to act on: its callers have
+/// sent again, and other instances have decided.
+pub const STALE_AFTER: time::Duration = time::Duration::from_millis(250);
 /// Time after which a flow of which only first packets were seen is over.
 const OPENING_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 /// Time after which a flow whose caller has sent FIN is over.
@@ -31,6 +36,8 @@
     pub entries: usize,
     /// Largest number of held packets.
     pub held: usize,
+    /// Largest number of remembered flows whose entries were lost.
+    pub lost: usize,
 }
 
 impl Default for Limits {
@@ -38,6 +45,7 @@
         Self {
             entries: 1 << 20,
             held: 1_024,
+            lost: 1 << 16,
         }
     }
 }
@@ -95,6 +103,7 @@
     pub(crate) replicas: replica::Outbox,
     pub(crate) table: flow::Table,
     held: arena::Arena<key::Held, Held>,
+    lost: HashMap<flow::Key, flow::Tick>,
     random: random::Source,
     recent: Vec<u64>,
     released: Vec<(key::Held, Verdict)>,
@@ -107,8 +116,8 @@
     direct: Vec<f64>,
     /// Entries that this shard owns.
     owned: Vec<u32>,
-    /// Repeated first packets since the last report.
-    repeats: Vec<u16>,
+    /// First packets since the last report.
+    starts: Vec<health::Starts>,
 }
 
 /// The slot of a target in a vector that grows as needed.
@@ -144,9 +153,19 @@
         }
     }
 
-    /// Takes the repeats counted since the last call.
-    pub fn take_repeats(&mut self, target: key::Target) -> u16 {
-        std::mem::take(slot(&mut self.repeats, target))
+    /// Takes the first packets counted since the last call.
+    pub fn take_starts(&mut self, target: key::Target) -> health::Starts {
+        std::mem::take(slot(&mut self.starts, target))
+    }
+
+    fn add_first(&mut self, target: key::Target) {
+        let starts = slot(&mut self.starts, target);
+        starts.first = starts.first.saturating_add(1);
+    }
+
+    fn add_repeated(&mut self, target: key::Target) {
+        let starts = slot(&mut self.starts, target);
+        starts.repeated = starts.repeated.saturating_add(1);
     }
 }
 
@@ -161,6 +180,7 @@
             replicas: replica::Outbox::default(),
             table: flow::Table::default(),
             held: arena::Arena::default(),
+            lost: HashMap::new(),
             random,
             recent: vec![0; RECENT_SLOTS],
             released: Vec::new(),
@@ -194,6 +214,17 @@
 
     /// Decides what becomes of a packet.
     pub fn steer(&mut self, view: &view::View, now: time::Instant, packet: Packet) -> Verdict {
+        self.decide(view, now, packet, true)
+    }
+
+    /// Decides on a packet; `is_fresh` tells whether it has just arrived and counts as evidence.
+    fn decide(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: Packet,
+        is_fresh: bool,
+    ) -> Verdict {
         let Some(service_key) = view.service(&packet.header.tuple) else {
             return Verdict::Drop(match view.revision {
                 0 => count::Counter::DropNotReady,
@@ -206,10 +237,15 @@
         };
         match bucket.mode {
             view::Mode::Direct if self.may_go_direct(view, bucket, now) => {
-                self.count_direct(packet, bucket.home);
+                self.count_direct(packet, bucket.home, is_fresh);
                 forward(view, now, bucket.home)
             }
-            view::Mode::Own => self.steer_owned(view, now, packet, service_key, bucket),
+            view::Mode::Own => {
+                if is_fresh {
+                    self.count_repeat(packet);
+                }
+                self.steer_owned(view, now, packet, service_key, bucket)
+            }
             view::Mode::Direct | view::Mode::Relay => {
                 self.steer_remote(view, now, packet, bucket.owner)
             }
@@ -221,14 +257,17 @@
         bucket.owner == view.self_key || now < view.lease.peer(bucket.owner)
     }
 
-    fn count_direct(&mut self, packet: Packet, home: key::Target) {
+    fn count_direct(&mut self, packet: Packet, home: key::Target, is_fresh: bool) {
         match packet.header.kind {
             packet::Kind::First => {
                 let recent = &mut self.recent[packet.flow.low as usize & (RECENT_SLOTS - 1)];
                 if *recent == packet.flow.low {
-                    *slot(&mut self.load.repeats, home) += 1;
+                    if is_fresh {
+                        self.load.add_repeated(home);
+                    }
                 } else {
                     *recent = packet.flow.low;
+                    self.load.add_first(home);
                     *slot(&mut self.load.direct, home) += 1.0;
                 }
             }
@@ -273,9 +312,10 @@
         service: key::Service,
         bucket: &view::Bucket,
     ) -> Verdict {
-        if let Some(key) = self.table.find(packet.flow) {
+        if let Some(key) = self.table.find(packet.flow)
+            && !self.withdraw_if_void(key, packet.header.kind)
+        {
             self.adopt(key);
-            self.count_repeat(key, packet.header.kind);
             self.touch(key, now, packet.header.kind);
             return self.forward_entry(view, now, packet, key, bucket);
         }
@@ -294,6 +334,17 @@
         }
     }
 
+    /// Removes an entry whose first packet never left this instance, when a later packet shows that
+    /// the flow was placed elsewhere meanwhile; returns whether it did.
+    fn withdraw_if_void(&mut self, key: key::Entry, kind: packet::Kind) -> bool {
+        let is_later = !matches!(kind, packet::Kind::First | packet::Kind::Datagram);
+        let is_void = is_later && self.table.get(key).is_some_and(|entry| !entry.confirmed);
+        if is_void {
+            self.remove(key);
+        }
+        is_void
+    }
+
     /// Places a new flow.
     fn start_flow(
         &mut self,
@@ -303,6 +354,7 @@
         service_key: key::Service,
         bucket: &view::Bucket,
     ) -> Verdict {
+        self.lost.remove(&packet.flow);
         let service = &view.services[service_key.index()];
         let Some(target) = self.choose(view, now, service, bucket) else {
             return if now >= bucket.known_at {
@@ -314,6 +366,7 @@
         let deviates = replica::needs_copies(bucket, target);
         match self.insert(view, now, packet, service_key, target, flow::Phase::Opening) {
             Some(key) => {
+                self.load.add_first(target);
                 if deviates {
                     self.counters.increment(count::Counter::EntryDeviating);
                     self.request_copies(view, now, key, bucket);
@@ -366,8 +419,13 @@
         bucket: &view::Bucket,
     ) -> Verdict {
         if !bucket.complete {
+            self.note_lost(now, packet.flow);
             return self.hold(now, packet, Wait::View);
         }
+        if self.lost.contains_key(&packet.flow) {
+            self.note_lost(now, packet.flow);
+            return Verdict::Drop(count::Counter::DropLost);
+        }
         let phase = phase_after(flow::Phase::Open, packet.header.kind);
         if packet.header.kind != packet::Kind::Reset
             && let Some(key) = self.insert(view, now, packet, service, bucket.fallback, phase)
@@ -378,6 +436,20 @@
         forward(view, now, bucket.fallback)
     }
 
+    /// Remembers a flow whose entry was lost with the instances that held it. It is not guessed
+    /// onto the fallback later, when the bucket is complete for all other flows.
+    fn note_lost(&mut self, now: time::Instant, flow: flow::Key) {
+        if self.lost.len() < self.limits.lost || self.lost.contains_key(&flow) {
+            self.lost.insert(flow, flow::Tick::at(now));
+        }
+    }
+
+    /// Forgets lost flows that have been quiet for long enough to be over.
+    pub(crate) fn forget_lost(&mut self, now: time::Instant, idle: time::Duration) {
+        let tick = flow::Tick::at(now);
+        self.lost.retain(|_, seen| tick.since(*seen) <= idle);
+    }
+
     /// Forwards by an entry, or holds the packet while a replica is still due.
     fn forward_entry(
         &mut self,
@@ -470,12 +542,16 @@
         }
     }
 
-    fn count_repeat(&mut self, key: key::Entry, kind: packet::Kind) {
-        if let Some(entry) = self.table.get(key)
-            && kind == packet::Kind::First
+    fn count_repeat(&mut self, packet: Packet) {
+        if packet.header.kind == packet::Kind::First
+            && let Some(entry) = self
+                .table
+                .find(packet.flow)
+                .and_then(|key| self.table.get(key))
             && entry.phase == flow::Phase::Opening
+            && entry.confirmed
         {
-            *slot(&mut self.load.repeats, entry.target) += 1;
+            self.load.add_repeated(entry.target);
         }
     }
 
@@ -524,11 +600,16 @@
     fn retry_one(&mut self, view: &view::View, now: time::Instant, key: key::Held, held: Held) {
         if held.deadline <= now {
             self.held.remove(key);
+            if let Wait::Copies(entry) = held.wait
+                && self.table.get(entry).is_some_and(|entry| !entry.confirmed)
+            {
+                self.remove(entry);
+            }
             self.released
                 .push((key, Verdict::Drop(count::Counter::DropHeldTooLong)));
             return;
         }
-        match self.steer(view, now, held.packet) {
+        match self.decide(view, now, held.packet, false) {
             Verdict::Hold(again) => {
                 // The packet keeps its first key and deadline.
                 let renewed = self.held.remove(again);
@@ -540,6 +621,11 @@
             Verdict::Drop(count::Counter::DropHoldFull) => {}
             verdict => {
                 self.held.remove(key);
+                // While the packet was held its caller may have sent again to another instance.
+                let verdict = match verdict {
+                    Verdict::Refuse => Verdict::Drop(count::Counter::DropNoTarget),
+                    verdict => verdict,
+                };
                 self.released.push((key, verdict));
             }
         }
--- a/lib/src/state/count.rs
+++ b/lib/src/state/count.rs
@@ -70,6 +70,10 @@
     DropOversized => "drop_oversized",
     /// Packets dropped: held longer than the bound.
     DropHeldTooLong => "drop_held_too_long",
+    /// Datagrams dropped: they waited while the thread was paused.
+    DropStale => "drop_stale",
+    /// Packets dropped: the entry of their flow was lost with the instances that held it.
+    DropLost => "drop_lost",
     /// Packets dropped: too many held.
     DropHoldFull => "drop_hold_full",
     /// Packets dropped: relayed too often.
--- a/lib/src/transport/batch.rs
+++ b/lib/src/transport/batch.rs
@@ -93,6 +93,11 @@
         Ok(self.count)
     }
 
+    /// Forgets the last batch.
+    pub fn clear(&mut self) {
+        self.count = 0;
+    }
+
     /// Number of datagrams of the last batch.
     pub fn count(&self) -> usize {
         self.count
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -187,6 +187,7 @@
     let limits = steering::Limits {
         entries: settings.limits.entries,
         held: settings.limits.held,
+        ..steering::Limits::default()
     };
     let random = random::Source::new(seed ^ (u64::from(shard_number) + 1));
     let events = events.clone();
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -144,10 +144,15 @@
         worker.parts.shard.load().decay(DECAY_KEEP);
     });
     let mut receiver = batch::Receiver::default();
+    let mut ran = now;
     loop {
         receiver.receive(&worker.parts.socket)?;
         worker.refresh_view();
         let now = clock.now();
+        if now.since(ran) > steering::STALE_AFTER {
+            worker.drop_backlog(&mut receiver)?;
+        }
+        ran = now;
         for index in 0..receiver.count() {
             worker.handle(&receiver, index, now);
         }
@@ -177,6 +182,20 @@
         }
     }
 
+    /// Drops all that waited while the thread was paused.
+    fn drop_backlog(&mut self, receiver: &mut batch::Receiver) -> io::Result<()> {
+        while receiver.count() > 0 {
+            let counters = &self.parts.shard.counters;
+            counters.add(count::Counter::DropStale, receiver.count() as u64);
+            if receiver.count() < batch::BATCH {
+                receiver.clear();
+                return Ok(());
+            }
+            receiver.receive(&self.parts.socket)?;
+        }
+        Ok(())
+    }
+
     /// Handles one datagram of the batch.
     fn handle(&mut self, receiver: &batch::Receiver, index: usize, now: time::Instant) {
         if receiver.is_oversized(index) {
@@ -381,10 +400,14 @@
         let load = self.parts.shard.load();
         let counts = (0..self.view.targets.len())
             .map(key::Target::from)
-            .map(|target| control::Count {
-                flows: load.open(target) as i32,
-                repeats: load.take_repeats(target),
-                target,
+            .map(|target| {
+                let starts = load.take_starts(target);
+                control::Count {
+                    flows: load.open(target) as i32,
+                    repeats: starts.repeated,
+                    starts: starts.first,
+                    target,
+                }
             })
             .collect();
         let entries = self.parts.shard.entry_count() as u64;
--- a/lib/tests/scenario.rs
+++ b/lib/tests/scenario.rs
@@ -12,7 +12,10 @@
 
 /// The Guild's services with a flexible share in per mille.
 pub fn services(share: u16) -> Vec<sheet::Service> {
-    vec![sheet::Service::new("rounds-board", 14, share), sheet::Service::new("proof-vault", 4, share)]
+    vec![
+        sheet::Service::new("rounds-board", 14, share),
+        sheet::Service::new("proof-vault", 4, share),
+    ]
 }
 
 /// A fleet that serves the first sheet.
@@ -21,7 +24,10 @@
     fleet.publish(sheet::sheet(1, services));
     fleet.run(Duration::from_secs(4));
     for node in &fleet.nodes {
-        assert!(node.control.is_settled(), "instance not settled after its start");
+        assert!(
+            node.control.is_settled(),
+            "instance not settled after its start"
+        );
     }
     fleet
 }
@@ -32,7 +38,11 @@
     let count = (length.as_millis() / FLOW_INTERVAL.as_millis()) as usize;
     for number in 0..count {
         let service = usize::from(number % 4 == 0);
-        let life = if number % 8 == 0 { Duration::from_secs(25) } else { Duration::from_secs(3) };
+        let life = if number % 8 == 0 {
+            Duration::from_secs(25)
+        } else {
+            Duration::from_secs(3)
+        };
         fleet.start_flow(service, packet::Protocol::Tcp, life, GAP);
         fleet.run(FLOW_INTERVAL);
     }
@@ -43,6 +53,13 @@
     fleet.run(Duration::from_secs(40));
 }
 
+/// Histories of the flows that broke.
+pub fn histories(fleet: &fleet::Fleet) -> String {
+    let broken = |number: &usize| fleet.flows[*number].state == caller::State::Broken;
+    let flows: Vec<usize> = (0..fleet.flows.len()).filter(broken).collect();
+    flows.into_iter().map(|flow| fleet.history(flow)).collect()
+}
+
 /// Number of broken flows.
 pub fn broken(fleet: &fleet::Fleet) -> usize {
     fleet.count_flows(|state| *state == caller::State::Broken)
@@ -56,7 +73,7 @@
 /// Every packet of every flow reached one target.
 pub fn assert_one_target_each(fleet: &fleet::Fleet) {
     for (number, flow) in fleet.flows.iter().enumerate() {
-        assert!(flow.targets.len() <= 1, "flow {number} reached {:?}", flow.targets);
+        assert!(flow.targets.len() <= 1, "{}", fleet.history(number));
     }
 }
 
@@ -78,6 +95,11 @@
 pub fn target_name(services: &[sheet::Service], service: usize, number: u32) -> key::Name {
     let sheet = sheet::sheet(1, services);
     let name = format!("{}-{number}", services[service].name);
-    let target = sheet.targets.iter().find(|target| target.name == name.as_str());
-    target.expect("a target of the sheet").id(&sheet.services[service])
+    let target = sheet
+        .targets
+        .iter()
+        .find(|target| target.name == name.as_str());
+    target
+        .expect("a target of the sheet")
+        .id(&sheet.services[service])
 }
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -10,10 +10,16 @@
 use crate::sheet;
 
 /// The flow hash's secret in tests.
-pub const SECRET: hash::Secret = hash::Secret { first: 7, second: 11 };
+pub const SECRET: hash::Secret = hash::Secret {
+    first: 7,
+    second: 11,
+};
 /// Waits before a first packet is sent again.
-const RETRIES: [Duration; 3] =
-    [Duration::from_secs(1), Duration::from_secs(2), Duration::from_secs(4)];
+const RETRIES: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(4),
+];
 
 /// State of a flow at its caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -102,7 +108,11 @@
                     return None;
                 };
                 self.state = State::Opening { sent: sent + 1 };
-                let kind = if is_udp { packet::Kind::Datagram } else { packet::Kind::First };
+                let kind = if is_udp {
+                    packet::Kind::Datagram
+                } else {
+                    packet::Kind::First
+                };
                 Some((kind, *wait))
             }
             State::Open(_) if now >= self.ends && is_udp => {
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -5,6 +5,7 @@
 //! counted. Nodes can be killed, restarted, paused and told to leave.
 
 use std::collections::{BTreeMap, BinaryHeap};
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,6 +90,17 @@
     watching: bool,
 }
 
+/// One decision on a packet.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    at: time::Instant,
+    bucket: Option<view::Bucket>,
+    flow: usize,
+    kind: packet::Kind,
+    node: usize,
+    verdict: steering::Verdict,
+}
+
 /// How a fleet is set up.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -149,10 +161,16 @@
     published: Option<Arc<fleet::Sheet>>,
     random: random::Source,
     sequence: u64,
+    steps: Vec<Step>,
 }
 
 fn ring() -> wire::Ring {
-    wire::Ring { keys: vec![wire::Key { number: 1, secret: (1, 2) }] }
+    wire::Ring {
+        keys: vec![wire::Key {
+            number: 1,
+            secret: (1, 2),
+        }],
+    }
 }
 
 fn make_node(options: &Options, number: usize, life: u32, now: time::Instant) -> Node {
@@ -196,7 +214,9 @@
             flows: Vec::new(),
             ills: BTreeMap::new(),
             network: network::Network::new(options.nodes),
-            nodes: (0..options.nodes).map(|node| make_node(&options, node, 1, ORIGIN)).collect(),
+            nodes: (0..options.nodes)
+                .map(|node| make_node(&options, node, 1, ORIGIN))
+                .collect(),
             now: ORIGIN,
             platform_up: true,
             placements: Vec::new(),
@@ -208,6 +228,7 @@
             options,
             published: None,
             sequence: 0,
+            steps: Vec::new(),
         };
         for node in 0..fleet.nodes.len() {
             fleet.schedule_life(node);
@@ -225,7 +246,13 @@
     fn push(&mut self, node: usize, at: time::Instant, action: Action) {
         self.sequence += 1;
         let life = self.nodes[node].life;
-        self.events.push(Event { action, at, life, node, sequence: self.sequence });
+        self.events.push(Event {
+            action,
+            at,
+            life,
+            node,
+            sequence: self.sequence,
+        });
     }
 
     /// Publishes a sheet at the platform.
@@ -242,7 +269,11 @@
         for node in 0..self.nodes.len() {
             let behind = self.nodes[node].control.revision() < sheet.revision;
             if self.nodes[node].running && self.nodes[node].watching && behind {
-                self.push(node, self.now + SHEET_DELAY, Action::Sheet(Arc::clone(&sheet)));
+                self.push(
+                    node,
+                    self.now + SHEET_DELAY,
+                    Action::Sheet(Arc::clone(&sheet)),
+                );
             }
         }
     }
@@ -316,6 +347,10 @@
             return;
         }
         if self.nodes[node].paused_until > self.now {
+            let is_stale = self.nodes[node].paused_until.since(event.at) > steering::STALE_AFTER;
+            if is_stale && matches!(event.action, Action::Packet(..) | Action::Traffic(..)) {
+                return;
+            }
             let until = self.nodes[node].paused_until;
             self.events.push(Event { at: until, ..event });
             return;
@@ -361,10 +396,14 @@
         let load = this.shard.load();
         let counts: Vec<control::Count> = (0..targets)
             .map(key::Target::from)
-            .map(|target| control::Count {
-                flows: load.open(target) as i32,
-                repeats: load.take_repeats(target),
-                target,
+            .map(|target| {
+                let starts = load.take_starts(target);
+                control::Count {
+                    flows: load.open(target) as i32,
+                    repeats: starts.repeated,
+                    starts: starts.first,
+                    target,
+                }
             })
             .collect();
         this.control.on_counts(now, 0, &counts);
@@ -373,7 +412,11 @@
 
     fn probe(&mut self, node: usize) {
         for (target, address) in self.nodes[node].probes.clone() {
-            let answer = self.ills.get(&address).copied().unwrap_or(message::Probe::Healthy);
+            let answer = self
+                .ills
+                .get(&address)
+                .copied()
+                .unwrap_or(message::Probe::Healthy);
             self.nodes[node].control.on_probe(target, answer);
         }
         let interval = health::Config::default().interval;
@@ -389,7 +432,10 @@
         let flow = &self.flows[number];
         let packet = steering::Packet {
             flow: flow.key,
-            header: packet::Header { kind, tuple: flow.tuple },
+            header: packet::Header {
+                kind,
+                tuple: flow.tuple,
+            },
             hops: steering::MAX_HOPS,
         };
         let open: Vec<usize> = (0..self.nodes.len())
@@ -407,7 +453,44 @@
         self.apply(node, flow, packet.header.kind, verdict);
     }
 
+    /// What became of a flow's packets, one line each; for tests that fail.
+    pub fn history(&self, flow: usize) -> String {
+        let mut text = format!("flow {flow}: {:?}\n", self.flows[flow].state);
+        for step in self.steps.iter().filter(|step| step.flow == flow) {
+            let at = step.at.since(ORIGIN).as_millis();
+            let (kind, verdict) = (step.kind, step.verdict);
+            let _ = write!(text, "{at} ms, node {}: {kind:?} {verdict:?}", step.node);
+            if let Some(bucket) = step.bucket {
+                let place = bucket.place_at.since(ORIGIN).as_millis();
+                let _ = writeln!(
+                    text,
+                    "; {:?} by {}, home {}, fallback {}, place at {place}, settling {}",
+                    bucket.mode, bucket.owner.0, bucket.home.0, bucket.fallback.0, bucket.settling
+                );
+            }
+        }
+        text
+    }
+
     fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: steering::Verdict) {
+        let view = &self.nodes[node].view;
+        let bucket = view
+            .services
+            .get(self.flows[flow].service)
+            .and_then(|service| {
+                service
+                    .buckets
+                    .get(service.bucket(self.flows[flow].key).index())
+                    .copied()
+            });
+        self.steps.push(Step {
+            at: self.now,
+            bucket,
+            flow,
+            kind,
+            node,
+            verdict,
+        });
         match verdict {
             steering::Verdict::Drop(reason) => self.nodes[node].shard.counters.increment(reason),
             steering::Verdict::Forward(target) => self.arrive(node, flow, kind, target),
@@ -416,14 +499,23 @@
             }
             steering::Verdict::Refuse => self.refuse(flow),
             steering::Verdict::Relay(peer, hops) => {
-                self.nodes[node].shard.counters.increment(count::Counter::Relayed);
+                self.nodes[node]
+                    .shard
+                    .counters
+                    .increment(count::Counter::Relayed);
                 let this = &self.flows[flow];
                 let packet = steering::Packet {
                     flow: this.key,
-                    header: packet::Header { kind, tuple: this.tuple },
+                    header: packet::Header {
+                        kind,
+                        tuple: this.tuple,
+                    },
                     hops,
                 };
-                for at in self.network.arrivals(self.now, node, peer.index(), &mut self.random) {
+                for at in self
+                    .network
+                    .arrivals(self.now, node, peer.index(), &mut self.random)
+                {
                     self.push(peer.index(), at, Action::Packet(flow, packet));
                 }
             }
@@ -431,7 +523,11 @@
     }
 
     fn arrive(&mut self, node: usize, flow: usize, kind: packet::Kind, target: key::Target) {
-        let Some(name) = self.nodes[node].view.target(target).map(|target| target.name) else {
+        let Some(name) = self.nodes[node]
+            .view
+            .target(target)
+            .map(|target| target.name)
+        else {
             return;
         };
         let first = self.flows[flow].placed_at.is_none();
@@ -462,12 +558,17 @@
 
     fn send_messages(&mut self, node: usize) {
         let mut messages = Vec::new();
-        self.nodes[node].shard.outgoing(|peer, message| messages.push((peer, message)));
+        self.nodes[node]
+            .shard
+            .outgoing(|peer, message| messages.push((peer, message)));
         let from = key::Instance(node as u16);
         let mut bytes = 0;
         for (peer, message) in messages {
             bytes += wire::encode(&ring(), wire::Kind::Traffic, from, &message).len() as u64;
-            for at in self.network.arrivals(self.now, node, peer.index(), &mut self.random) {
+            for at in self
+                .network
+                .arrivals(self.now, node, peer.index(), &mut self.random)
+            {
                 self.push(peer.index(), at, Action::Traffic(from, message.clone()));
             }
         }
@@ -501,21 +602,27 @@
 
     fn fetch(&mut self, node: usize, peer: usize) {
         let sheet = self.nodes[peer].control.sheet.clone();
-        if let Some(sheet) = sheet.filter(|_| {
-            self.nodes[peer].running && self.network.connects(node, peer)
-        }) {
+        if let Some(sheet) =
+            sheet.filter(|_| self.nodes[peer].running && self.network.connects(node, peer))
+        {
             self.push(node, self.now + SHEET_DELAY, Action::Sheet(sheet));
         }
     }
 
     /// Number of flows in a state.
     pub fn count_flows(&self, matches: impl Fn(&caller::State) -> bool) -> usize {
-        self.flows.iter().filter(|flow| matches(&flow.state)).count()
+        self.flows
+            .iter()
+            .filter(|flow| matches(&flow.state))
+            .count()
     }
 
     /// Sum of a counter over all nodes.
     pub fn counter(&self, counter: count::Counter) -> u64 {
-        self.nodes.iter().map(|node| node.shard.counters.get(counter)).sum()
+        self.nodes
+            .iter()
+            .map(|node| node.shard.counters.get(counter))
+            .sum()
     }
 
     /// Open flows on each target, by the targets' own count.
--- a/testutils/src/network.rs
+++ b/testutils/src/network.rs
@@ -47,7 +47,13 @@
         if !self.connects(from, to) || random.unit() < self.lost {
             return Vec::new();
         }
-        let copies = if random.unit() < self.duplicated { 2 } else { 1 };
-        (0..copies).map(|_| now + self.delay + self.jitter.mul_f64(random.unit())).collect()
+        let copies = if random.unit() < self.duplicated {
+            2
+        } else {
+            1
+        };
+        (0..copies)
+            .map(|_| now + self.delay + self.jitter.mul_f64(random.unit()))
+            .collect()
     }
 }
--- a/testutils/src/sheet.rs
+++ b/testutils/src/sheet.rs
@@ -96,7 +96,13 @@
 
 /// A published sheet of one document.
 pub fn bundle(revision: u64, name: &str, text: &str) -> message::Bundle {
-    let documents = vec![message::Document { name: name.into(), text: text.to_owned() }];
+    let documents = vec![message::Document {
+        name: name.into(),
+        text: text.to_owned(),
+    }];
     let manifest = manifest::write(revision, &documents);
-    message::Bundle { documents, manifest }
+    message::Bundle {
+        documents,
+        manifest,
+    }
 }
