coordination: agree on owners before placing after a death; forget restarted holders

Causes found by failures_never_misdirect_repeat_or_revert, each seen failing: - Leases were renewed before the new ranks were taken in, so a new owner could decide before its peers had handed over. Being synced now needs equal ranks. - A fresh instance that reached nobody took itself for the whole fleet. Until all have agreed once, the settings say how many instances there are. - The smaller side placed flows away from the fallback, where the larger side expects them. It does so now only when the fallback cannot take a flow. - A restarted deputy counted as a holder of entries that it had forgotten.

--- a/lib/src/coordination/bucket.rs
+++ b/lib/src/coordination/bucket.rs
@@ -39,6 +39,8 @@
 /// One bucket.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
+    /// Whether the larger side of a partition may have placed flows that are not known here.
+    pub blind: bool,
     /// Instances that must hold replicas, one bit each.
     pub copies: u32,
     /// Target of packets whose flow has no entry.
@@ -126,6 +128,7 @@
     /// A table for a service that was not known before: nothing is settled, nothing is direct.
     pub fn new(service: key::Name, homes: &[key::Target], now: time::Instant) -> Self {
         let bucket = |(index, home): (usize, &key::Target)| Bucket {
+            blind: true,
             copies: 0,
             fallback: *home,
             flexible_from: flexible_from(service, index),
@@ -223,16 +226,30 @@
                     was_direct(owner, key::Bucket::from(index))
                 }
             });
-            if !direct {
-                bucket.incomplete_until = time::Instant::FAR;
-            }
+            bucket.blind |= !direct;
         }
     }
 
     /// Notes that this instance is no longer on the smaller side of a partition.
-    pub fn end_minority(&mut self, now: time::Instant) {
+    pub fn end_minority(&mut self) {
         for bucket in &mut self.buckets {
-            bucket.incomplete_until = bucket.incomplete_until.min(now);
+            bucket.blind = false;
+        }
+    }
+
+    /// Notes that an instance has lost what it held.
+    pub fn forget_holder(
+        &mut self,
+        instance: key::Instance,
+        now: time::Instant,
+        idle: time::Duration,
+    ) {
+        for bucket in &mut self.buckets {
+            let left = bucket.holders & !view::mask(instance);
+            if bucket.holders != 0 && left == 0 {
+                bucket.incomplete_until = bucket.incomplete_until.max(now + idle);
+            }
+            bucket.holders = left;
         }
     }
 
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -152,6 +152,13 @@
             now,
         );
         let shards = usize::from(config.shards);
+        // Until all have agreed once, the settings say how many instances there are.
+        let quorum = config
+            .peers
+            .keys()
+            .fold(view::mask(config.self_key), |mask, peer| {
+                mask | view::mask(*peer)
+            });
         Self {
             health: health::Health::new(config.health),
             ledger: ledger::Ledger::default(),
@@ -172,14 +179,14 @@
             heartbeat_due: now,
             heartbeat_sent: time::Instant(0),
             handed_topology: None,
-            minority: false,
+            minority: true,
             outputs: Vec::new(),
             owners_topology: None,
             peer_flows: BTreeMap::new(),
             pending_starts: HashMap::new(),
             probed: Vec::new(),
             publish_due: true,
-            quorum: 0,
+            quorum,
             random,
             ranked: 0,
             report_due: now,
@@ -224,11 +231,15 @@
             && self.owners_synced()
     }
 
+    /// Whether every entry held here is known to its owner, for the present owners.
     pub(crate) fn owners_synced(&self) -> bool {
-        self.owners_topology
-            .is_some_and(|topology| topology >= self.ranked_topology)
+        self.ranked == self.membership.ranked()
+            && self
+                .owners_topology
+                .is_some_and(|topology| topology >= self.ranked_topology)
     }
 
+    /// Whether every replica is in place, for the present and the next owners.
     pub(crate) fn handed_over(&self) -> bool {
         self.handed_topology
             .is_some_and(|topology| topology >= self.topology)
@@ -302,6 +313,14 @@
 
     fn note_change(&mut self, change: membership::Change) {
         match change {
+            membership::Change::Restarted(peer) => {
+                for (_, service) in self.ledger.services.iter_mut() {
+                    let idle = service.item.idle_timeout;
+                    service.buckets.forget_holder(peer, self.ticked_at, idle);
+                }
+                self.peer_flows.remove(&peer);
+                self.note_change(membership::Change::Appeared(peer));
+            }
             membership::Change::Appeared(peer) => {
                 self.outputs.push(Output::Forget(peer));
                 self.outputs.push(Output::Log(Event::PeerAppeared(peer)));
@@ -328,6 +347,11 @@
         }
         self.note_time(now);
         self.ledger.apply(now, &sheet, self.version + 1);
+        if !self.minority {
+            for (_, service) in self.ledger.services.iter_mut() {
+                service.buckets.end_minority();
+            }
+        }
         self.outputs.push(Output::Log(Event::Sheet(sheet.revision)));
         self.sheet = Some(sheet);
         self.fetch.backoff = FETCH_BACKOFF_MIN;
@@ -533,7 +557,7 @@
             self.ranked_topology = self.topology;
             self.announce_due = true;
         }
-        self.note_minority(now, ranked);
+        self.note_minority(ranked);
         if self.is_settled() && !self.minority {
             self.quorum = ranked;
             let current = self.membership.candidates(ranked);
@@ -575,7 +599,7 @@
 
     /// Whether this instance was left with at most half of the instances that agreed last. It then
     /// may be cut off, and does not guess where flows of tracked buckets went.
-    fn note_minority(&mut self, now: time::Instant, ranked: u32) {
+    fn note_minority(&mut self, ranked: u32) {
         let kept = (ranked & self.quorum).count_ones();
         let all = self.quorum.count_ones();
         let lowest = self.quorum & self.quorum.wrapping_neg();
@@ -593,7 +617,7 @@
                     is_direct(peers, owner, name, number)
                 });
             } else {
-                service.buckets.end_minority(now);
+                service.buckets.end_minority();
             }
         }
     }
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -73,12 +73,14 @@
 /// What a heartbeat or the passing of time changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// A peer is alive that was not, or runs as a new process.
+    /// A peer is alive that was not.
     Appeared(key::Instance),
     /// A peer has been silent for too long.
     Died(key::Instance),
     /// A peer changed its stage, shards or zone.
     Moved(key::Instance),
+    /// A peer runs as a new process and has forgotten all.
+    Restarted(key::Instance),
     /// This instance was paused for longer than its leases and joins anew.
     Rejoined,
 }
@@ -183,7 +185,9 @@
             peer.version_seen = echo.applied;
         }
         let resized = apply_details(peer, heartbeat);
-        if appeared {
+        if restarted {
+            Some(Change::Restarted(from))
+        } else if appeared {
             Some(Change::Appeared(from))
         } else if moved || resized {
             Some(Change::Moved(from))
--- a/lib/src/coordination/publish.rs
+++ b/lib/src/coordination/publish.rs
@@ -21,6 +21,7 @@
             generation: self.generation,
             instances: self.view_instances(),
             lease: self.lease.clone(),
+            minority: self.minority,
             names: self.ledger.names.clone(),
             revision: self.revision(),
             self_key: self.config.self_key,
@@ -141,7 +142,7 @@
             view::Mode::Relay
         };
         view::Bucket {
-            complete: self.ticked_at >= bucket.incomplete_until,
+            complete: !bucket.blind && self.ticked_at >= bucket.incomplete_until,
             copies: bucket.copies,
             fallback: bucket.fallback,
             home: bucket.home,
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -399,6 +399,13 @@
         {
             return None;
         }
+        // The larger side expects flows that it does not know at the fallback.
+        let fallback = view.target(bucket.fallback);
+        if view.minority
+            && fallback.is_some_and(|target| placement::accepts(target, open(bucket.fallback)))
+        {
+            return Some(bucket.fallback);
+        }
         placement::choose(
             self.policy,
             view,
--- a/lib/src/state/view.rs
+++ b/lib/src/state/view.rs
@@ -187,6 +187,8 @@
     pub instances: Vec<Option<Instance>>,
     /// Leases of the snapshot.
     pub lease: Lease,
+    /// Whether this instance may be on the smaller side of a partition.
+    pub minority: bool,
     /// Targets by stable identifier.
     pub names: HashMap<key::Name, key::Target>,
     /// Revision of the sheet; zero while there is none.
@@ -208,6 +210,7 @@
             topology: 0,
             instances: Vec::new(),
             lease,
+            minority: false,
             names: HashMap::new(),
             revision: 0,
             self_key,
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -44,6 +44,8 @@
 /// One flow.
 #[derive(Clone, Debug)]
 pub struct Flow {
+    /// Targets that a first packet reached.
+    pub first_targets: BTreeSet<key::Name>,
     /// Time between its packets.
     pub gap: Duration,
     /// Time of its end.
@@ -85,6 +87,7 @@
             source_port: (number % 40_000) as u16 + 1_024,
         };
         Self {
+            first_targets: BTreeSet::new(),
             gap,
             ends,
             finished: false,
@@ -138,7 +141,9 @@
     /// packet at another target is answered with a reset.
     pub fn arrive(&mut self, now: time::Instant, target: key::Name, kind: packet::Kind) {
         self.targets.insert(target);
-        if kind != packet::Kind::First {
+        if kind == packet::Kind::First {
+            self.first_targets.insert(target);
+        } else {
             self.later_targets.insert(target);
         }
         self.placed_at.get_or_insert(now);
