coordination: count only open flows as load; experiment tool with baselines

Cause: an entry counted as load until it aged out, 60 s after its FIN, so the least loaded target was chosen by past arrivals.

--- a/lib/src/coordination/beat.rs
+++ b/lib/src/coordination/beat.rs
@@ -3,8 +3,6 @@
 use crate::coordination::{control, message};
 use crate::state::{key, time};
 
-/// Time between target reports.
-const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Least time between two heartbeats, which lets changes gather.
 const MIN_SPACING: time::Duration = time::Duration::from_millis(20);
 /// Longest wait before a sheet is fetched again.
@@ -19,7 +17,7 @@
         self.heartbeat_sent = now;
         self.heartbeat_due = now + self.config.membership.heartbeat;
         let reports = if now >= self.report_due {
-            self.report_due = now + REPORT_INTERVAL;
+            self.report_due = now + self.config.report_interval;
             self.make_reports()
         } else {
             Vec::new()
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -8,6 +8,8 @@
 use crate::coordination::{bucket, health, ledger, membership, message, replica};
 use crate::state::{fleet, key, random, time, view};
 
+/// Time between target reports where nothing else is asked.
+pub const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// First wait before a sheet is fetched again.
 pub(crate) const FETCH_BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
 /// Time between adjustments of the flexible share.
@@ -28,6 +30,8 @@
     pub membership: membership::Config,
     /// Peers and where their control sockets are.
     pub peers: BTreeMap<key::Instance, SocketAddr>,
+    /// Time between target reports.
+    pub report_interval: time::Duration,
     /// This instance.
     pub self_key: key::Instance,
     /// Traffic shards of this instance.
@@ -680,13 +684,13 @@
         .is_some_and(|direct| direct.get(number))
 }
 
-/// The next flexible share: a quarter less when replicas cost more than the budget, slowly back up
-/// to what the sheet allows when they cost clearly less.
+/// The next flexible share: cut to what the budget allows when replicas cost more, and slowly back
+/// up to what the sheet allows when they cost clearly less, since each change tracks buckets.
 fn next_share(share: u16, allowed: u16, rate: u64, budget: u64) -> u16 {
     let floor = MIN_SHARE.min(allowed);
     if rate > budget {
-        (share - share / 4).max(floor)
-    } else if rate * 2 < budget {
+        ((u64::from(share) * budget / rate) as u16).max(floor)
+    } else if rate * 3 < budget * 2 {
         (share + share / 8 + 1).min(allowed)
     } else {
         share.min(allowed)
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -238,8 +238,8 @@
         entry.target = target;
         entry.placed = placed;
         entry.copies = view::mask(from);
-        let owned = entry.role == flow::Role::Owned;
-        if owned {
+        let is_counted = entry.is_counted();
+        if is_counted {
             self.load.remove_owned(former);
             self.load.add_owned(target);
         }
@@ -406,8 +406,10 @@
         if let Some(entry) = self.table.get_mut(key)
             && entry.role == flow::Role::Owned
         {
+            if entry.is_counted() {
+                self.load.remove_owned(entry.target);
+            }
             entry.role = flow::Role::Copy;
-            self.load.remove_owned(entry.target);
         }
     }
 
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -504,7 +504,9 @@
             service,
             target,
         });
-        self.load.add_owned(target);
+        if self.table.get(key).is_some_and(flow::Entry::is_counted) {
+            self.load.add_owned(target);
+        }
         self.counters.increment(count::Counter::EntryCreated);
         Some(key)
     }
@@ -531,7 +533,7 @@
     /// Removes an entry and its share of the counts.
     pub(crate) fn remove(&mut self, key: key::Entry) -> Option<flow::Entry> {
         let entry = self.table.remove(key)?;
-        if entry.role == flow::Role::Owned {
+        if entry.is_counted() {
             self.load.remove_owned(entry.target);
         }
         self.replicas.forget(key);
@@ -545,7 +547,9 @@
         {
             entry.role = flow::Role::Owned;
             entry.confirmed = true;
-            self.load.add_owned(entry.target);
+            if entry.is_counted() {
+                self.load.add_owned(entry.target);
+            }
         }
     }
 
@@ -564,8 +568,12 @@
 
     fn touch(&mut self, key: key::Entry, now: time::Instant, kind: packet::Kind) {
         if let Some(entry) = self.table.get_mut(key) {
+            let was_counted = entry.is_counted();
             entry.seen = flow::Tick::at(now);
             entry.phase = phase_after(entry.phase, kind);
+            if was_counted && !entry.is_counted() {
+                self.load.remove_owned(entry.target);
+            }
         }
     }
 
--- a/lib/src/state/flow.rs
+++ b/lib/src/state/flow.rs
@@ -81,6 +81,13 @@
     pub target: key::Target,
 }
 
+impl Entry {
+    /// Whether the entry counts as an open flow of this instance.
+    pub fn is_counted(&self) -> bool {
+        self.role == Role::Owned && matches!(self.phase, Phase::Opening | Phase::Open)
+    }
+}
+
 /// Entries of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -163,6 +163,7 @@
         incarnation: clock::unix_seconds(),
         membership: membership::Config::default(),
         peers: settings.peers.clone(),
+        report_interval: control::REPORT_INTERVAL,
         self_key,
         shards: settings.instance.shards,
         traffic_port: settings.instance.traffic_port,
--- /dev/null
+++ b/testutils/src/baseline.rs
@@ -0,0 +1,284 @@
+//! Simpler designs to measure against, with the same flows, spray and delays as a `fleet::Fleet`.
+//!
+//! A design is two closures: one chooses the target of a flow's packet at an instance, the other
+//! says what a new entry costs in control bytes.
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::Duration;
+
+use quetzal_lib::coordination::{ledger, table};
+use quetzal_lib::state::{flow, key, packet, random, time};
+
+use crate::{caller, sheet};
+
+/// One-way delay between instances, over which views differ.
+const DELAY: Duration = Duration::from_millis(1);
+/// Longest time for a sheet to reach an instance.
+const SHEET_SPREAD: Duration = Duration::from_millis(200);
+/// Bytes of one replica's frame, acknowledgement and end, as `postcard` encodes one entry alone.
+pub const REPLICA_BYTES: u64 = 12 + 29 + 12 + 11 + 12 + 19;
+/// Bytes a second of an instance's heartbeats with load reports, as measured on the fleet.
+pub const HEARTBEAT_BYTES: u64 = 1_700;
+
+/// A simpler design.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Design {
+    /// Every packet goes to the home of its bucket.
+    Hash,
+    /// The less loaded of two targets, and every entry on every instance before the first packet.
+    TwoChoices,
+}
+
+/// One instance of a baseline.
+struct Node {
+    entries: HashMap<flow::Key, key::Name>,
+    homes: Vec<Vec<key::Name>>,
+    loads: BTreeMap<key::Name, i64>,
+    running: bool,
+}
+
+type Event = std::cmp::Reverse<(time::Instant, usize, usize)>;
+
+/// Callers, targets and instances under a simpler design.
+pub struct Baseline {
+    /// Bytes of frames between instances.
+    pub control_bytes: u64,
+    /// All flows so far.
+    pub flows: Vec<caller::Flow>,
+    /// Present time.
+    pub now: time::Instant,
+    design: Design,
+    events: BinaryHeap<Event>,
+    fit: Vec<Vec<key::Name>>,
+    load_age: Duration,
+    loads_at: time::Instant,
+    nodes: Vec<Node>,
+    pending_tables: Vec<(time::Instant, usize, Vec<Vec<key::Name>>)>,
+    random: random::Source,
+    open: BTreeMap<key::Name, i64>,
+}
+
+fn homes(services: &[sheet::Service]) -> Vec<Vec<key::Name>> {
+    let sheet = sheet::sheet(1, services);
+    services
+        .iter()
+        .enumerate()
+        .map(|(index, service)| {
+            let names = fit_targets(services, index);
+            let members: Vec<table::Member> = names
+                .iter()
+                .enumerate()
+                .map(|(target, name)| table::Member {
+                    name: *name,
+                    target: key::Target::from(target),
+                    weight: service.slots,
+                })
+                .collect();
+            let buckets = sheet.services[index].buckets as usize;
+            table::homes(ledger::name_of(service.name), buckets, &members)
+                .into_iter()
+                .map(|target| names[target.index()])
+                .collect()
+        })
+        .collect()
+}
+
+fn fit_targets(services: &[sheet::Service], index: usize) -> Vec<key::Name> {
+    let sheet = sheet::sheet(1, services);
+    sheet
+        .targets
+        .iter()
+        .filter(|target| target.service.index() == index)
+        .filter(|target| target.duty == quetzal_lib::state::fleet::Duty::Active)
+        .map(|target| target.id(&sheet.services[index]))
+        .collect()
+}
+
+impl Baseline {
+    /// A baseline that serves the first sheet; load views are up to `load_age` old.
+    pub fn new(
+        design: Design,
+        nodes: usize,
+        services: &[sheet::Service],
+        load_age: Duration,
+        seed: u64,
+    ) -> Self {
+        let homes = homes(services);
+        let node = || Node {
+            entries: HashMap::new(),
+            homes: homes.clone(),
+            loads: BTreeMap::new(),
+            running: true,
+        };
+        Self {
+            control_bytes: 0,
+            flows: Vec::new(),
+            now: time::Instant::from_millis(3_600_000),
+            design,
+            events: BinaryHeap::new(),
+            fit: (0..services.len())
+                .map(|index| fit_targets(services, index))
+                .collect(),
+            load_age,
+            loads_at: time::Instant(0),
+            nodes: (0..nodes).map(|_| node()).collect(),
+            pending_tables: Vec::new(),
+            random: random::Source::new(seed),
+            open: BTreeMap::new(),
+        }
+    }
+
+    /// Publishes a changed sheet, which instances take up at slightly different times.
+    pub fn publish(&mut self, services: &[sheet::Service]) {
+        self.fit = (0..services.len())
+            .map(|index| fit_targets(services, index))
+            .collect();
+        let homes = homes(services);
+        for node in 0..self.nodes.len() {
+            let at = self.now + SHEET_SPREAD.mul_f64(self.random.unit());
+            self.pending_tables.push((at, node, homes.clone()));
+        }
+    }
+
+    /// Kills a node, with its entries.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].running = false;
+        self.nodes[node].entries.clear();
+    }
+
+    /// Starts a killed node, which copies all entries from another before it takes part.
+    pub fn restart(&mut self, node: usize) {
+        let source = (0..self.nodes.len()).find(|other| self.nodes[*other].running);
+        let entries = source
+            .map(|source| self.nodes[source].entries.clone())
+            .unwrap_or_default();
+        self.control_bytes += entries.len() as u64 * REPLICA_BYTES;
+        self.nodes[node].entries = entries;
+        self.nodes[node].running = true;
+    }
+
+    /// Starts a flow.
+    pub fn start_flow(&mut self, service: usize, life: Duration, gap: Duration) {
+        let number = self.flows.len();
+        let ends = self.now + life;
+        let flow = caller::Flow::new(number, service, packet::Protocol::Tcp, ends, gap);
+        self.flows.push(flow);
+        self.events.push(std::cmp::Reverse((self.now, number, 0)));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.events.peek().is_some_and(|event| event.0.0 <= end) {
+            let Some(std::cmp::Reverse((at, number, _))) = self.events.pop() else {
+                break;
+            };
+            self.now = self.now.max(at);
+            self.take_up_tables();
+            self.refresh_loads();
+            self.send(number);
+        }
+        self.now = end;
+        let running = self.nodes.iter().filter(|node| node.running).count() as u64;
+        self.control_bytes += (HEARTBEAT_BYTES * running) * length.as_millis() as u64 / 1_000;
+    }
+
+    fn take_up_tables(&mut self) {
+        let now = self.now;
+        for (at, node, homes) in std::mem::take(&mut self.pending_tables) {
+            if at <= now {
+                self.nodes[node].homes = homes;
+            } else {
+                self.pending_tables.push((at, node, homes));
+            }
+        }
+    }
+
+    fn refresh_loads(&mut self) {
+        if self.now.since(self.loads_at) >= self.load_age {
+            self.loads_at = self.now;
+            for node in &mut self.nodes {
+                node.loads.clone_from(&self.open);
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize) {
+        let now = self.now;
+        let before = self.flows[number].state;
+        let Some((kind, wait)) = self.flows[number].next_packet(now) else {
+            self.note_state(number, before);
+            return;
+        };
+        self.events.push(std::cmp::Reverse((now + wait, number, 0)));
+        let running: Vec<usize> = (0..self.nodes.len())
+            .filter(|node| self.nodes[*node].running)
+            .collect();
+        if running.is_empty() {
+            return;
+        }
+        let node = running[self.random.below(running.len())];
+        if let Some(target) = self.steer(node, number, kind) {
+            self.flows[number].arrive(now + DELAY, target, kind);
+        }
+        self.note_state(number, before);
+    }
+
+    /// Keeps the count of open flows by target.
+    fn note_state(&mut self, number: usize, before: caller::State) {
+        let after = self.flows[number].state;
+        if before == after {
+            return;
+        }
+        if let caller::State::Open(target) = before {
+            *self.open.entry(target).or_default() -= 1;
+        }
+        if let caller::State::Open(target) = after {
+            *self.open.entry(target).or_default() += 1;
+        }
+    }
+
+    fn steer(&mut self, node: usize, number: usize, kind: packet::Kind) -> Option<key::Name> {
+        let flow = self.flows[number].key;
+        let service = self.flows[number].service;
+        if self.design == Design::Hash {
+            let homes = &self.nodes[node].homes[service];
+            return homes.get(flow.high as usize & (homes.len() - 1)).copied();
+        }
+        if let Some(target) = self.nodes[node].entries.get(&flow) {
+            return Some(*target);
+        }
+        if kind != packet::Kind::First {
+            return None;
+        }
+        let fit = &self.fit[service];
+        let pair = [0, 1].map(|_| fit[self.random.below(fit.len())]);
+        let load = |target: &key::Name| self.nodes[node].loads.get(target).copied().unwrap_or(0);
+        let target = pair.into_iter().min_by_key(load)?;
+        *self.nodes[node].loads.entry(target).or_default() += 1;
+        let mut peers = 0;
+        for peer in self.nodes.iter_mut().filter(|node| node.running) {
+            peer.entries.insert(flow, target);
+            peers += 1;
+        }
+        self.control_bytes += REPLICA_BYTES * (peers - 1);
+        Some(target)
+    }
+
+    /// Open flows on each target, by the targets' own count.
+    pub fn open_by_target(&self) -> BTreeMap<key::Name, usize> {
+        self.open
+            .iter()
+            .filter(|(_, open)| **open > 0)
+            .map(|(target, open)| (*target, *open as usize))
+            .collect()
+    }
+
+    /// Number of broken flows.
+    pub fn broken(&self) -> usize {
+        self.flows
+            .iter()
+            .filter(|flow| flow.state == caller::State::Broken)
+            .count()
+    }
+}
--- /dev/null
+++ b/testutils/src/bin/quetzal-experiment.rs
@@ -0,0 +1,471 @@
+//! Measures broken flows, imbalance and control bytes of the design and of simpler ones.
+//!
+//! `quetzal-experiment designs` compares designs in five situations, `share` varies the flexible
+//! share, `age` the age of load views, and `budget` runs at the rate that control must carry.
+//! Every run is made of the decisions themselves under a virtual clock; see `fleet::Fleet`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quetzal_lib::coordination::placement;
+use quetzal_lib::state::{count, key, packet, random};
+use quetzal_testutils::{baseline, caller, fleet, sheet};
+
+/// Time before measuring.
+const WARM_UP: Duration = Duration::from_secs(12);
+/// Time measured.
+const MEASURED: Duration = Duration::from_secs(24);
+/// Time between samples.
+const SAMPLE: Duration = Duration::from_millis(500);
+/// Time between a flow's packets.
+const GAP: Duration = Duration::from_millis(800);
+/// Age below which a flow keeps a slot busy.
+const BUSY: Duration = Duration::from_millis(500);
+
+/// A deployment of the brief.
+#[derive(Clone, Copy)]
+struct User {
+    name: &'static str,
+    nodes: usize,
+    share: u16,
+    slots: u32,
+    zones: usize,
+}
+
+const USERS: [User; 2] = [
+    User {
+        name: "guild",
+        nodes: 5,
+        share: 100,
+        slots: 3,
+        zones: 4,
+    },
+    User {
+        name: "bureau",
+        nodes: 4,
+        share: 1_000,
+        slots: 2,
+        zones: 3,
+    },
+];
+
+/// What happens while measuring.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Situation {
+    Steady,
+    Drain,
+    Death,
+    Both,
+    Cut,
+}
+
+const SITUATIONS: [Situation; 5] = [
+    Situation::Steady,
+    Situation::Drain,
+    Situation::Death,
+    Situation::Both,
+    Situation::Cut,
+];
+
+/// What a run is measured on: a design's callers and operations on it.
+enum System {
+    Baseline(Box<baseline::Baseline>),
+    Fleet(Box<fleet::Fleet>),
+}
+
+/// Result of one run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    broken: usize,
+    busy: f64,
+    bytes: u64,
+    deviating: f64,
+    flows: usize,
+    open: f64,
+    relayed: f64,
+    unanswered: usize,
+}
+
+impl System {
+    fn run(&mut self, length: Duration) {
+        match self {
+            Self::Baseline(system) => system.run(length),
+            Self::Fleet(system) => system.run(length),
+        }
+    }
+
+    fn start_flow(&mut self, service: usize, life: Duration) {
+        match self {
+            Self::Baseline(system) => system.start_flow(service, life, GAP),
+            Self::Fleet(system) => {
+                system.start_flow(service, packet::Protocol::Tcp, life, GAP);
+            }
+        }
+    }
+
+    fn publish(&mut self, revision: u64, services: &[sheet::Service]) {
+        match self {
+            Self::Baseline(system) => system.publish(services),
+            Self::Fleet(system) => system.publish(sheet::sheet(revision, services)),
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        match self {
+            Self::Baseline(system) => system.kill(node),
+            Self::Fleet(system) => system.kill(node),
+        }
+    }
+
+    fn restart(&mut self, node: usize) {
+        match self {
+            Self::Baseline(system) => system.restart(node),
+            Self::Fleet(system) => system.restart(node),
+        }
+    }
+
+    /// Cuts a node off, or heals the cut. A baseline without messages between instances that
+    /// matter to its choice does not notice.
+    fn cut(&mut self, node: usize, side: u8) {
+        if let Self::Fleet(system) = self {
+            system.network.sides[node] = side;
+        }
+    }
+
+    fn flows(&self) -> &[caller::Flow] {
+        match self {
+            Self::Baseline(system) => &system.flows,
+            Self::Fleet(system) => &system.flows,
+        }
+    }
+
+    fn open(&self) -> BTreeMap<key::Name, usize> {
+        match self {
+            Self::Baseline(system) => system.open_by_target(),
+            Self::Fleet(system) => system.open_by_target(),
+        }
+    }
+
+    fn bytes(&self) -> u64 {
+        match self {
+            Self::Baseline(system) => system.control_bytes,
+            Self::Fleet(system) => system.control_bytes,
+        }
+    }
+}
+
+/// A design under test.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Design {
+    Hash,
+    Relay,
+    TwoChoices,
+    Share(u16),
+}
+
+struct Run {
+    age: Duration,
+    budget: u64,
+    design: Design,
+    rate: f64,
+    seed: u64,
+    situation: Situation,
+    user: User,
+}
+
+fn services(user: User, share: u16) -> Vec<sheet::Service> {
+    let mut service = sheet::Service::new("first", 14, share);
+    service.slots = user.slots;
+    service.idle_timeout = Duration::from_secs(30);
+    vec![service]
+}
+
+fn make(run: &Run) -> (System, Vec<sheet::Service>) {
+    let share = match run.design {
+        Design::Share(share) => share,
+        Design::Relay => 1_000,
+        Design::Hash | Design::TwoChoices => 0,
+    };
+    let services = services(run.user, share);
+    let baseline = |design| {
+        let nodes = run.user.nodes;
+        let system = baseline::Baseline::new(design, nodes, &services, run.age, run.seed);
+        System::Baseline(Box::new(system))
+    };
+    let system = match run.design {
+        Design::Hash => baseline(baseline::Design::Hash),
+        Design::TwoChoices => baseline(baseline::Design::TwoChoices),
+        Design::Relay | Design::Share(_) => {
+            let mut options = fleet::Options::new(run.seed);
+            options.nodes = run.user.nodes;
+            options.zones = run.user.zones;
+            options.budget = run.budget;
+            options.report_interval = run.age;
+            if run.design == Design::Relay {
+                // The owner decides for every flow and always for the home.
+                options.policy = placement::Policy {
+                    candidates: 0,
+                    margin: 0,
+                };
+            }
+            let mut system = fleet::Fleet::new(options);
+            system.publish(sheet::sheet(1, &services));
+            system.run(Duration::from_secs(4));
+            System::Fleet(Box::new(system))
+        }
+    };
+    (system, services)
+}
+
+/// A life with a heavy tail.
+fn life(random: &mut random::Source) -> Duration {
+    const SHAPE: f64 = 1.5;
+    const LEAST: f64 = 1.0;
+    const MOST: f64 = 60.0;
+    let seconds = LEAST / (1.0 - random.unit()).powf(1.0 / SHAPE);
+    Duration::from_secs_f64(seconds.min(MOST))
+}
+
+/// The largest load over the mean of the targets that take new flows.
+fn imbalance(loads: &BTreeMap<key::Name, usize>, targets: &[key::Name]) -> f64 {
+    let loads: Vec<usize> = targets
+        .iter()
+        .map(|name| loads.get(name).copied().unwrap_or(0))
+        .collect();
+    let sum: usize = loads.iter().sum();
+    let most = loads.iter().max().copied().unwrap_or(0);
+    if sum == 0 {
+        1.0
+    } else {
+        most as f64 * loads.len() as f64 / sum as f64
+    }
+}
+
+fn busy(
+    system: &System,
+    now_flows: usize,
+    starts: &[(Duration, usize)],
+    now: Duration,
+) -> BTreeMap<key::Name, usize> {
+    let mut busy = BTreeMap::new();
+    for (at, number) in starts.iter().rev().take(now_flows) {
+        if now.saturating_sub(*at) > BUSY {
+            break;
+        }
+        if let caller::State::Open(target) = system.flows()[*number].state {
+            *busy.entry(target).or_default() += 1;
+        }
+    }
+    busy
+}
+
+fn measure(run: &Run) -> Outcome {
+    let (mut system, mut services) = make(run);
+    let mut random = random::Source::new(run.seed ^ 0xABCD);
+    let step = Duration::from_millis(5);
+    let mut outcome = Outcome::default();
+    let (mut clock, mut owed, mut samples) = (Duration::ZERO, 0.0, 0u32);
+    let mut bytes_from = 0;
+    let mut starts: Vec<(Duration, usize)> = Vec::new();
+    let mut next_sample = WARM_UP;
+    let mut events = script(run.situation);
+    while clock < WARM_UP + MEASURED {
+        owed += run.rate * step.as_secs_f64();
+        while owed >= 1.0 {
+            owed -= 1.0;
+            starts.push((clock, system.flows().len()));
+            let life = life(&mut random);
+            system.start_flow(0, life);
+        }
+        system.run(step);
+        clock += step;
+        if clock == WARM_UP {
+            bytes_from = system.bytes();
+        }
+        while events.first().is_some_and(|(at, _)| clock >= WARM_UP + *at) {
+            let (_, event) = events.remove(0);
+            act(&mut system, &mut services, event);
+        }
+        if clock >= next_sample {
+            next_sample += SAMPLE;
+            let targets = fit_names(&services);
+            outcome.open += imbalance(&system.open(), &targets);
+            let recent = busy(&system, starts.len(), &starts, clock);
+            outcome.busy += imbalance(&recent, &targets);
+            samples += 1;
+        }
+    }
+    outcome.bytes = (system.bytes() - bytes_from) / run.user.nodes as u64 / MEASURED.as_secs();
+    outcome.open /= f64::from(samples.max(1));
+    outcome.busy /= f64::from(samples.max(1));
+    outcome.flows = system.flows().len();
+    outcome.broken = system
+        .flows()
+        .iter()
+        .filter(|flow| flow.state == caller::State::Broken)
+        .count();
+    outcome.unanswered = system
+        .flows()
+        .iter()
+        .filter(|flow| flow.state == caller::State::GivenUp)
+        .count();
+    if let System::Fleet(system) = &system {
+        let packets = system.packets.max(1) as f64;
+        outcome.relayed = system.counter(count::Counter::Relayed) as f64 / packets;
+        outcome.deviating =
+            system.counter(count::Counter::EntryDeviating) as f64 / outcome.flows as f64;
+    }
+    outcome
+}
+
+fn fit_names(services: &[sheet::Service]) -> Vec<key::Name> {
+    let sheet = sheet::sheet(1, services);
+    sheet
+        .targets
+        .iter()
+        .filter(|target| target.duty == quetzal_lib::state::fleet::Duty::Active)
+        .map(|target| target.id(&sheet.services[0]))
+        .collect()
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Change(u32),
+    Cut(u8),
+    Kill,
+    Restart,
+}
+
+fn script(situation: Situation) -> Vec<(Duration, Event)> {
+    let at = Duration::from_secs;
+    match situation {
+        Situation::Steady => Vec::new(),
+        Situation::Drain => vec![(at(2), Event::Change(1))],
+        Situation::Death => vec![(at(2), Event::Kill), (at(10), Event::Restart)],
+        Situation::Both => vec![
+            (at(2), Event::Change(1)),
+            (at(2), Event::Kill),
+            (at(6), Event::Restart),
+            (at(6), Event::Change(2)),
+        ],
+        Situation::Cut => vec![(at(2), Event::Cut(1)), (at(10), Event::Cut(0))],
+    }
+}
+
+fn act(system: &mut System, services: &mut [sheet::Service], event: Event) {
+    match event {
+        Event::Change(number) => {
+            services[0].draining.push(number);
+            services[0].targets.push(20 + number);
+            system.publish(1 + u64::from(number), services);
+        }
+        Event::Cut(side) => system.cut(3, side),
+        Event::Kill => system.kill(1),
+        Event::Restart => system.restart(1),
+    }
+}
+
+fn print(label: &str, outcome: &Outcome) {
+    println!(
+        "{label:38} broken {:4} of {:6}, unanswered {:3}, open {:.3}, busy {:.3}, relayed {:4.1}%, \
+         off home {:4.1}%, control {:6} B/s",
+        outcome.broken,
+        outcome.flows,
+        outcome.unanswered,
+        outcome.open,
+        outcome.busy,
+        outcome.relayed * 100.0,
+        outcome.deviating * 100.0,
+        outcome.bytes
+    );
+}
+
+fn base(user: User, design: Design) -> Run {
+    Run {
+        age: Duration::from_secs(1),
+        budget: 1_500,
+        design,
+        rate: 400.0,
+        seed: 1,
+        situation: Situation::Steady,
+        user,
+    }
+}
+
+fn designs() {
+    for user in USERS {
+        for rate in [400.0, 40.0] {
+            for situation in SITUATIONS {
+                println!("-- {}, {rate} new flows/s, {situation:?}", user.name);
+                let designs = [
+                    Design::Hash,
+                    Design::Relay,
+                    Design::TwoChoices,
+                    Design::Share(user.share),
+                ];
+                for design in designs {
+                    let run = Run {
+                        rate,
+                        situation,
+                        ..base(user, design)
+                    };
+                    print(&format!("{design:?}"), &measure(&run));
+                }
+            }
+        }
+    }
+}
+
+fn shares() {
+    for user in USERS {
+        for rate in [400.0, 40.0] {
+            println!("-- {}, {rate} new flows/s, unlimited budget", user.name);
+            for share in [0, 20, 50, 100, 200, 400, 1_000] {
+                let design = Design::Share(share);
+                let run = Run {
+                    budget: u64::MAX,
+                    rate,
+                    ..base(user, design)
+                };
+                print(
+                    &format!("share {}%", f64::from(share) / 10.0),
+                    &measure(&run),
+                );
+            }
+        }
+    }
+}
+
+fn ages() {
+    for age in [250, 500, 1_000, 2_000, 4_000] {
+        let age = Duration::from_millis(age);
+        println!("-- guild, 400 new flows/s, load views {age:?}");
+        for design in [Design::TwoChoices, Design::Share(100), Design::Share(400)] {
+            let run = Run {
+                age,
+                budget: u64::MAX,
+                ..base(USERS[0], design)
+            };
+            print(&format!("{design:?}"), &measure(&run));
+        }
+    }
+}
+
+fn budget() {
+    println!("-- guild, 10000 new flows/s over 5 instances, budget 1500 B/s");
+    let run = Run {
+        rate: 10_000.0,
+        ..base(USERS[0], Design::Share(100))
+    };
+    print("share at most 10%", &measure(&run));
+}
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("designs") => designs(),
+        Some("share") => shares(),
+        Some("age") => ages(),
+        Some("budget") => budget(),
+        _ => println!("usage: quetzal-experiment designs|share|age|budget"),
+    }
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -112,6 +112,8 @@
     pub nodes: usize,
     /// Choice of targets.
     pub policy: placement::Policy,
+    /// Time between target reports.
+    pub report_interval: Duration,
     /// Seed of everything random.
     pub seed: u64,
     /// Number of zones.
@@ -126,6 +128,7 @@
             limits: steering::Limits::default(),
             nodes: 5,
             policy: placement::Policy::default(),
+            report_interval: control::REPORT_INTERVAL,
             seed,
             zones: 4,
         }
@@ -140,10 +143,14 @@
     pub flows: Vec<caller::Flow>,
     /// Probe answer of each target that is not healthy, by health address.
     pub ills: BTreeMap<SocketAddr, message::Probe>,
+    /// Whether to keep what became of each packet, for `history`.
+    pub keep_steps: bool,
     /// The network between instances.
     pub network: network::Network,
     /// Instances.
     pub nodes: Vec<Node>,
+    /// Packets handed to instances by the fabric.
+    pub packets: u64,
     /// Present time.
     pub now: time::Instant,
     /// Whether the platform answers.
@@ -185,6 +192,7 @@
             .filter(|peer| *peer != number)
             .map(|peer| (key::Instance(peer as u16), address(peer)))
             .collect(),
+        report_interval: options.report_interval,
         self_key,
         shards: 1,
         traffic_port: 6_080,
@@ -213,11 +221,13 @@
             control_bytes: 0,
             flows: Vec::new(),
             ills: BTreeMap::new(),
+            keep_steps: false,
             network: network::Network::new(options.nodes),
             nodes: (0..options.nodes)
                 .map(|node| make_node(&options, node, 1, ORIGIN))
                 .collect(),
             now: ORIGIN,
+            packets: 0,
             platform_up: true,
             placements: Vec::new(),
             sprayed_to_dead: false,
@@ -442,6 +452,7 @@
             .filter(|node| self.nodes[*node].running || self.sprayed_to_dead)
             .collect();
         if !open.is_empty() {
+            self.packets += 1;
             let node = open[self.random.below(open.len())];
             self.push(node, now, Action::Packet(number, packet));
         }
@@ -472,25 +483,33 @@
         text
     }
 
-    fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: steering::Verdict) {
-        let view = &self.nodes[node].view;
-        let bucket = view
-            .services
-            .get(self.flows[flow].service)
-            .and_then(|service| {
-                service
-                    .buckets
-                    .get(service.bucket(self.flows[flow].key).index())
-                    .copied()
-            });
+    fn note_step(
+        &mut self,
+        node: usize,
+        flow: usize,
+        kind: packet::Kind,
+        verdict: steering::Verdict,
+    ) {
+        let this = &self.flows[flow];
+        let service = self.nodes[node].view.services.get(this.service);
+        let bucket = service
+            .and_then(|service| service.buckets.get(service.bucket(this.key).index()))
+            .copied();
+        let at = self.now;
         self.steps.push(Step {
-            at: self.now,
+            at,
             bucket,
             flow,
             kind,
             node,
             verdict,
         });
+    }
+
+    fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: steering::Verdict) {
+        if self.keep_steps {
+            self.note_step(node, flow, kind, verdict);
+        }
         match verdict {
             steering::Verdict::Drop(reason) => self.nodes[node].shard.counters.increment(reason),
             steering::Verdict::Forward(target) => self.arrive(node, flow, kind, target),
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,5 +1,6 @@
 //! Test utilities: several instances' decisions driven in one thread, without sockets.
 
+pub mod baseline;
 pub mod caller;
 pub mod fleet;
 pub mod network;
