--- /dev/null
+++ b/cli/src/commands/check.rs
@@ -0,0 +1,37 @@
+//! `quetzal check`: the same acceptance check as the daemon's.
+
+use std::path::Path;
+
+use quetzal_lib::protocol::{fault, settings, sheet};
+use quetzal_lib::transport::files;
+
+use crate::context;
+
+pub const HELP: &str = "\
+Checks sheets and settings as the daemon does.
+
+Usage: quetzal check PATH...
+
+A PATH is a settings file (.ini), a sheet document (.toml), or a directory of documents that are
+read as one sheet. Every fault names file, line, key, what was found, what is allowed, and its code.
+";
+
+pub fn run(mut context: context::Context) -> fault::Result<()> {
+    let mut paths = vec![context.next("PATH")?];
+    while let Ok(path) = context.next("PATH") {
+        paths.push(path);
+    }
+    context.finish()?;
+    for path in &paths {
+        check(Path::new(path))?;
+        println!("{path}: ok");
+    }
+    Ok(())
+}
+
+fn check(path: &Path) -> fault::Result<()> {
+    if path.extension().is_some_and(|extension| extension == "ini") {
+        return settings::parse(&path.to_string_lossy(), &files::read(path)?).map(drop);
+    }
+    sheet::accept(&files::read_sheet(path, 1)?, None).map(drop)
+}
--- /dev/null
+++ b/cli/src/commands/diff.rs
@@ -0,0 +1,64 @@
+//! `quetzal diff`: what a new sheet changes.
+
+use std::path::Path;
+
+use quetzal_lib::coordination::change;
+use quetzal_lib::protocol::{fault, sheet};
+use quetzal_lib::state::fleet;
+use quetzal_lib::transport::files;
+
+use crate::{context, output};
+
+pub const HELP: &str = "\
+Shows what a new sheet changes: services, targets, and the buckets whose home moves. Flows of moved
+buckets are tracked until all of them are known; none is moved.
+
+Usage: quetzal diff OLD NEW [--output text|json]
+";
+
+pub fn run(mut context: context::Context) -> fault::Result<()> {
+    let (old, new) = (context.next("OLD")?, context.next("NEW")?);
+    context.finish()?;
+    let old = read(&old, 1, None)?;
+    let new = read(&new, old.revision + 1, Some(&old))?;
+    let change = change::between(&old, &new);
+    if context.form == context::Form::Json {
+        return output::json(&change);
+    }
+    print(&change);
+    Ok(())
+}
+
+fn read(path: &str, revision: u64, previous: Option<&fleet::Sheet>) -> fault::Result<fleet::Sheet> {
+    sheet::accept(&files::read_sheet(Path::new(path), revision)?, previous)
+}
+
+/// Prints a change as text.
+pub fn print(change: &change::Change) {
+    for (sign, names) in [("+", &change.added), ("-", &change.removed)] {
+        for name in names {
+            println!("{sign} service {name}");
+        }
+    }
+    for service in &change.services {
+        let percent = f64::from(service.moved) * 100.0 / f64::from(service.buckets);
+        println!(
+            "  service {}: {} of {} buckets move ({percent:.1}%)",
+            service.name, service.moved, service.buckets
+        );
+        let groups = [
+            ("+ target", &service.added),
+            ("- target", &service.removed),
+            ("~ drains", &service.draining),
+            ("~ returns", &service.returned),
+        ];
+        for (sign, names) in groups {
+            for name in names {
+                println!("    {sign} {name}");
+            }
+        }
+    }
+    if *change == change::Change::default() {
+        println!("no change");
+    }
+}
--- /dev/null
+++ b/cli/src/commands/instances.rs
@@ -0,0 +1,48 @@
+//! `quetzal instances`: how the instances asked see each other.
+
+use quetzal_lib::protocol::{fault, status};
+
+use crate::{context, output};
+
+pub const HELP: &str = "\
+Shows how the instances asked see each other; a partition shows as instances that see different
+peers alive.
+
+Usage: quetzal instances --instances LIST [--output text|json]
+";
+
+pub fn run(mut context: context::Context) -> fault::Result<()> {
+    context.finish()?;
+    let (answers, silent) = context.ask::<status::Status>("/status")?;
+    if context.form == context::Form::Json {
+        let peers: Vec<(u16, &Vec<status::Peer>)> = answers
+            .iter()
+            .map(|(_, status)| (status.instance, &status.peers))
+            .collect();
+        output::json(&peers)?;
+    } else {
+        print(&answers.iter().map(|(_, status)| status).collect::<Vec<_>>());
+    }
+    output::silent(&silent);
+    Ok(())
+}
+
+fn print(all: &[&status::Status]) {
+    let mut table =
+        output::Table::new(&["INSTANCE", "SEES", "ALIVE", "PHASE", "REVISION", "SILENT"]);
+    for status in all {
+        for peer in &status.peers {
+            table.row(vec![
+                status.instance.to_string(),
+                peer.instance.to_string(),
+                if peer.alive { "yes" } else { "no" }.to_owned(),
+                peer.phase
+                    .map_or("-".to_owned(), |phase| format!("{phase:?}").to_lowercase()),
+                peer.revision.to_string(),
+                peer.silent_ms
+                    .map_or("never heard".to_owned(), |silent| format!("{silent}ms")),
+            ]);
+        }
+    }
+    table.print();
+}
--- /dev/null
+++ b/cli/src/commands/status.rs
@@ -0,0 +1,84 @@
+//! `quetzal status`: the instances asked, one line each.
+
+use quetzal_lib::protocol::{fault, status};
+use quetzal_lib::state::code;
+
+use crate::{context, output};
+
+pub const HELP: &str = "\
+Shows the instances asked: stage, sheet, whether they serve, and how much they forward.
+
+Usage: quetzal status --instances LIST [--output text|json]
+
+Ends with 1 if an instance that answers is not ready, and with 5 if one does not answer.
+";
+
+pub fn run(mut context: context::Context) -> fault::Result<()> {
+    context.finish()?;
+    let (answers, silent) = context.ask::<status::Status>("/status")?;
+    if context.form == context::Form::Json {
+        let all: Vec<&status::Status> = answers.iter().map(|(_, status)| status).collect();
+        output::json(&all)?;
+    } else {
+        print(&answers.iter().map(|(_, status)| status).collect::<Vec<_>>());
+    }
+    output::silent(&silent);
+    if !silent.is_empty() {
+        return Err(fault::report(
+            code::Code::InstanceUnreachable,
+            "not all instances answered",
+        ));
+    }
+    if answers.iter().any(|(_, status)| !status.ready) {
+        return Err(fault::report(
+            code::Code::NotReady,
+            "not all instances are ready",
+        ));
+    }
+    Ok(())
+}
+
+fn print(all: &[&status::Status]) {
+    let mut table = output::Table::new(&[
+        "INSTANCE",
+        "ZONE",
+        "PHASE",
+        "REVISION",
+        "READY",
+        "SETTLED",
+        "PEERS",
+        "FORWARDED",
+        "RELAYED",
+        "ENTRIES",
+        "UP",
+    ]);
+    for status in all {
+        let counter = |name: &str| status.counters.get(name).copied().unwrap_or(0);
+        let alive = status.peers.iter().filter(|peer| peer.alive).count();
+        let peers = format!("{alive}/{}", status.peers.len());
+        table.row(vec![
+            status.instance.to_string(),
+            status.zone.to_string(),
+            status
+                .phase
+                .map_or("-".to_owned(), |phase| format!("{phase:?}").to_lowercase()),
+            status.revision.to_string(),
+            yes(status.ready),
+            yes(status.settled),
+            if status.alone {
+                format!("{peers} (no deputy)")
+            } else {
+                peers
+            },
+            counter("packets_forwarded").to_string(),
+            counter("packets_relayed").to_string(),
+            status.entries.to_string(),
+            format!("{}s", status.uptime_seconds),
+        ]);
+    }
+    table.print();
+}
+
+fn yes(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
--- /dev/null
+++ b/cli/tests/files.rs
@@ -0,0 +1,132 @@
+//! Commands on files.
+
+use std::path::Path;
+
+use crate::commands;
+
+#[test]
+fn the_examples_are_accepted() {
+    let text = commands::run(&[
+        "check",
+        "examples/guild/sheet",
+        "examples/guild/instance-0.ini",
+        "examples/bureau/sheet",
+        "examples/bureau/instance-0.ini",
+    ]);
+    insta::assert_snapshot!(text);
+}
+
+/// Writes files into a directory of their own and runs the tool in the repository.
+fn check_text(name: &str, text: &str) -> String {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = directory.join(name);
+    std::fs::write(&path, text).expect("a file for the test");
+    let printed = commands::run(&["check", &path.to_string_lossy()]);
+    printed.replace(&format!("{}/", directory.display()), "")
+}
+
+#[test]
+fn a_wrong_settings_file_names_file_line_key_and_code() {
+    let good = std::fs::read_to_string(commands::root().join("examples/guild/instance-0.ini"))
+        .expect("the example");
+    let cases = [
+        ("unknown.ini", good.replace("stop_delay =", "stop_dealy =")),
+        ("section.ini", good.replace("[limits]", "[limit]")),
+        (
+            "value.ini",
+            good.replace("stop_delay = 2s", "stop_delay = 2"),
+        ),
+        ("number.ini", good.replace("number = 0", "number = 44")),
+        ("missing.ini", good.replace("zone = mobile-bay", "")),
+        ("key.ini", good.replace("current = 1:10", "current = 1:zz")),
+        ("syntax.ini", good.replace("[log]", "[log")),
+        (
+            "peer.ini",
+            good.replace("1 = 10.41.1.2:7000", "1 = somewhere"),
+        ),
+    ];
+    let text: String = cases
+        .iter()
+        .map(|(name, text)| format!("{}\n", check_text(name, text)))
+        .collect();
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_wrong_sheet_names_every_fault() {
+    let good =
+        std::fs::read_to_string(commands::root().join("examples/guild/sheet/proof-vault.toml"))
+            .expect("the example");
+    let zones = std::fs::read_to_string(commands::root().join("examples/guild/sheet/zones.toml"))
+        .expect("the example");
+    let good = format!("{zones}\n{good}");
+    let cases = [
+        (
+            "zone.toml",
+            good.replace("zone = \"delta-west\"", "zone = \"delta-east\""),
+        ),
+        (
+            "twice.toml",
+            good.replace("\"proof-vault-2\"", "\"proof-vault-1\""),
+        ),
+        (
+            "buckets.toml",
+            good.replace("buckets = 512", "buckets = 500"),
+        ),
+        ("slots.toml", good.replace("slots = 3", "slots = 0")),
+        ("share.toml", good.replace("\"40%\"", "\"140%\"")),
+        ("key.toml", good.replace("slots = 3", "slot = 3")),
+        ("address.toml", good.replace(":6080", "")),
+    ];
+    let text: String = cases
+        .iter()
+        .map(|(name, text)| format!("{}\n", check_text(name, text)))
+        .collect();
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_drain_is_explained_by_the_sheet() {
+    insta::assert_snapshot!(commands::run(&[
+        "drain",
+        "examples/guild/sheet",
+        "rounds-board/rounds-board-3"
+    ]));
+    insta::assert_snapshot!(commands::run(&[
+        "drain",
+        "examples/guild/sheet",
+        "rounds-board/nine"
+    ]));
+}
+
+#[test]
+fn a_diff_shows_what_moves() {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join("changed");
+    std::fs::create_dir_all(&directory).expect("a directory for the test");
+    for name in ["zones.toml", "rounds-board.toml", "proof-vault.toml"] {
+        let text =
+            std::fs::read_to_string(commands::root().join("examples/guild/sheet").join(name))
+                .expect("the example");
+        let text = text.replace(
+            "name = \"rounds-board-2\"",
+            "name = \"rounds-board-2\"\nstate = \"draining\"",
+        );
+        std::fs::write(directory.join(name), text).expect("a file for the test");
+    }
+    let changed = directory.to_string_lossy();
+    insta::assert_snapshot!(commands::run(&["diff", "examples/guild/sheet", &changed]));
+    insta::assert_snapshot!(commands::run(&[
+        "diff",
+        "examples/guild/sheet",
+        "examples/guild/sheet",
+        "--output",
+        "json"
+    ]));
+}
+
+#[test]
+fn a_manifest_carries_digests() {
+    let text = commands::run(&["manifest", "examples/bureau/sheet", "--revision", "4"]);
+    assert!(text.starts_with("revision = 4\n"), "{text}");
+    assert_eq!(text.matches("digest = ").count(), 3, "{text}");
+}
--- /dev/null
+++ b/cli/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Runner of the command-line tool's tests.
+
+mod commands;
+mod files;
+mod pages;
--- a/lib/src/coordination/bucket.rs
+++ b/lib/src/coordination/bucket.rs
@@ -237,6 +237,15 @@
         }
     }
 
+    /// Notes that entries of buckets were lost; their flows are over at the given time.
+    pub fn note_incomplete(&mut self, buckets: &bitmap::Bitmap, until: time::Instant) {
+        for (index, bucket) in self.buckets.iter_mut().enumerate() {
+            if buckets.get(key::Bucket::from(index)) {
+                bucket.incomplete_until = bucket.incomplete_until.max(until);
+            }
+        }
+    }
+
     /// Makes every home its bucket's fallback.
     pub fn end_settling(&mut self) {
         for bucket in &mut self.buckets {
--- /dev/null
+++ b/lib/src/coordination/burn.rs
@@ -0,0 +1,269 @@
+//! Service-level burn: how fast each service uses up the error budget of its objectives.
+//!
+//! Good and bad events are kept by the minute, in memory only, for the longest window. A burn rate
+//! of 1 uses the budget up exactly over the objective's period; fast and slow burn follow the usual
+//! pairs of a long and a short window.
+
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::state::{fleet, time};
+
+/// Length of one slot.
+const SLOT: time::Duration = time::Duration::from_secs(60);
+/// Slots that are kept, which is the longest window.
+const SLOTS: usize = 360;
+/// Slots that a report lists one by one.
+const SERIES_SLOTS: usize = 60;
+/// Windows in minutes, shortest first.
+pub const WINDOWS: [usize; 4] = [5, 30, 60, 360];
+/// Burn rate over 5 minutes and 1 hour that is a fast burn.
+const FAST_RATE: f64 = 14.4;
+/// Burn rate over 30 minutes and 6 hours that is a slow burn.
+const SLOW_RATE: f64 = 6.0;
+
+/// What an objective is about.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Flows that lost their target.
+    Broken,
+    /// Samples in which the fullest target was too far above the mean.
+    Imbalance,
+    /// Flows that were refused.
+    Refused,
+    /// Samples in which a newer sheet was known but not in force.
+    Sheet,
+}
+
+/// All kinds in order.
+pub const KINDS: [Kind; 4] = [Kind::Broken, Kind::Imbalance, Kind::Refused, Kind::Sheet];
+
+/// Share of bad samples that the objectives without a share of their own allow.
+const SAMPLE_BUDGET: f64 = 0.05;
+
+impl Kind {
+    /// Name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken flows",
+            Self::Imbalance => "imbalance",
+            Self::Refused => "refusals",
+            Self::Sheet => "sheet in force",
+        }
+    }
+
+    /// Allowed share of bad events.
+    pub fn budget(self, objective: fleet::Objective) -> f64 {
+        const MILLION: f64 = 1_000_000.0;
+        match self {
+            Self::Broken => f64::from(objective.broken) / MILLION,
+            Self::Refused => f64::from(objective.refused) / MILLION,
+            Self::Imbalance | Self::Sheet => SAMPLE_BUDGET,
+        }
+    }
+}
+
+/// Events counted together.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tally {
+    /// Bad events.
+    pub bad: u64,
+    /// All events.
+    pub total: u64,
+}
+
+impl Tally {
+    /// Adds another tally.
+    pub fn add(&mut self, other: Self) {
+        self.bad += other.bad;
+        self.total += other.total;
+    }
+
+    /// Burn rate for a budget; zero without events.
+    pub fn rate(self, budget: f64) -> f64 {
+        if self.total == 0 || budget <= 0.0 {
+            return 0.0;
+        }
+        self.bad as f64 / self.total as f64 / budget
+    }
+}
+
+/// The history of one service.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    slots: VecDeque<[Tally; KINDS.len()]>,
+    slot_ends: time::Instant,
+}
+
+impl History {
+    /// Adds events of a kind at a time.
+    pub fn add(&mut self, now: time::Instant, kind: Kind, tally: Tally) {
+        self.advance(now);
+        if let Some(slot) = self.slots.back_mut() {
+            slot[kind as usize].add(tally);
+        }
+    }
+
+    fn advance(&mut self, now: time::Instant) {
+        if self.slots.is_empty() {
+            self.slot_ends = now + SLOT;
+            self.slots.push_back(Default::default());
+        }
+        while self.slot_ends <= now {
+            self.slot_ends = self.slot_ends + SLOT;
+            self.slots.push_back(Default::default());
+        }
+        while self.slots.len() > SLOTS {
+            self.slots.pop_front();
+        }
+    }
+
+    fn window(&self, kind: Kind, minutes: usize) -> Tally {
+        let mut sum = Tally::default();
+        for slot in self.slots.iter().rev().take(minutes) {
+            sum.add(slot[kind as usize]);
+        }
+        sum
+    }
+
+    /// What a report says of one kind.
+    pub fn measure(&self, kind: Kind, objective: fleet::Objective) -> Measure {
+        Measure {
+            budget: kind.budget(objective),
+            kind,
+            series: self
+                .slots
+                .iter()
+                .rev()
+                .take(SERIES_SLOTS)
+                .rev()
+                .map(|slot| slot[kind as usize])
+                .collect(),
+            windows: WINDOWS.map(|minutes| self.window(kind, minutes)),
+        }
+    }
+}
+
+/// How one objective of a service fares.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Measure {
+    /// Allowed share of bad events.
+    pub budget: f64,
+    /// What it is about.
+    pub kind: Kind,
+    /// Events by the minute, the latest last.
+    pub series: Vec<Tally>,
+    /// Events in each of `WINDOWS`.
+    pub windows: [Tally; WINDOWS.len()],
+}
+
+/// How fast a budget burns.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Alert {
+    /// Would use up a month's budget in about two days.
+    Fast,
+    /// Within the budget.
+    None,
+    /// Would use up a month's budget in about five days.
+    Slow,
+}
+
+impl Measure {
+    /// Burn rate in each window.
+    pub fn rates(&self) -> [f64; WINDOWS.len()] {
+        self.windows.map(|window| window.rate(self.budget))
+    }
+
+    /// Whether a long and a short window burn too fast at once.
+    pub fn alert(&self) -> Alert {
+        let [five, thirty, hour, six_hours] = self.rates();
+        if five >= FAST_RATE && hour >= FAST_RATE {
+            Alert::Fast
+        } else if thirty >= SLOW_RATE && six_hours >= SLOW_RATE {
+            Alert::Slow
+        } else {
+            Alert::None
+        }
+    }
+
+    /// Share of the budget of the longest window that is left; below zero when it is overdrawn.
+    pub fn left(&self) -> f64 {
+        1.0 - self.rates()[WINDOWS.len() - 1]
+    }
+
+    /// Adds the events of another instance.
+    pub fn merge(&mut self, other: &Self) {
+        for (window, more) in self.windows.iter_mut().zip(other.windows) {
+            window.add(more);
+        }
+        let length = self.series.len().max(other.series.len());
+        let mut series = vec![Tally::default(); length];
+        for source in [&self.series, &other.series] {
+            for (slot, tally) in series.iter_mut().rev().zip(source.iter().rev()) {
+                slot.add(*tally);
+            }
+        }
+        self.series = series;
+    }
+}
+
+/// All objectives of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Service {
+    /// One entry for each kind.
+    pub measures: Vec<Measure>,
+    /// Name of the service.
+    pub name: CompactString,
+}
+
+/// The report of one instance, or of several merged.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Instances whose events are in the report.
+    pub instances: Vec<u16>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Shortest time, in seconds, since one of the instances began to count.
+    pub since_seconds: u64,
+    /// Instances that could not be asked.
+    pub unreachable: Vec<CompactString>,
+    /// Zones whose instances are in the report.
+    pub zones: Vec<CompactString>,
+}
+
+impl Report {
+    /// Adds the report of another instance.
+    pub fn merge(&mut self, other: &Self) {
+        self.since_seconds = if self.instances.is_empty() {
+            other.since_seconds
+        } else {
+            self.since_seconds.min(other.since_seconds)
+        };
+        self.instances.extend(&other.instances);
+        for zone in &other.zones {
+            if !self.zones.contains(zone) {
+                self.zones.push(zone.clone());
+            }
+        }
+        for service in &other.services {
+            match self
+                .services
+                .iter_mut()
+                .find(|known| known.name == service.name)
+            {
+                Some(known) => merge_service(known, service),
+                None => self.services.push(service.clone()),
+            }
+        }
+    }
+}
+
+fn merge_service(known: &mut Service, other: &Service) {
+    for (measure, more) in known.measures.iter_mut().zip(&other.measures) {
+        measure.merge(more);
+    }
+}
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -136,6 +136,7 @@
     pub(crate) ranked: u32,
     pub(crate) report_due: time::Instant,
     pub(crate) replica_bytes: u64,
+    pub(crate) sample_due: time::Instant,
     pub(crate) share_due: time::Instant,
     pub(crate) starts: HashMap<key::Target, u32>,
     pub(crate) ticked_at: time::Instant,
@@ -196,6 +197,7 @@
             ranked: 0,
             report_due: now,
             replica_bytes: 0,
+            sample_due: now,
             share_due: now + SHARE_INTERVAL,
             starts: HashMap::new(),
             ticked_at: now,
@@ -458,6 +460,7 @@
         self.step_phase(now);
         self.adjust_shares(now);
         self.judge_targets(now);
+        self.sample_objectives(now);
         self.update_leases();
         self.advance(now);
         self.request_sheet(now);
@@ -634,7 +637,7 @@
         }
     }
 
-    fn service_keys(&self) -> Vec<key::Service> {
+    pub(crate) fn service_keys(&self) -> Vec<key::Service> {
         self.ledger.services.iter().map(|(key, _)| key).collect()
     }
 
--- a/lib/src/coordination/history.rs
+++ b/lib/src/coordination/history.rs
@@ -2,7 +2,7 @@
 //!
 //! An instance that starts with the newest sheet cannot know the former homes of buckets that are
 //! still settling, nor targets that are no longer named but have open flows. Owners tell it both;
-//! it owns nothing before it has heard them all.
+//! it owns nothing before it has heard them all. The same goes for buckets whose entries were lost.
 
 use std::collections::BTreeMap;
 
@@ -15,6 +15,7 @@
         let known = self.membership.peers.get(&peer).and_then(|peer| peer.phase);
         let joins = matches!(known, None | Some(message::Phase::Joining));
         joins.then(|| message::History {
+            incomplete: self.incomplete(),
             retired: self.retired(),
             settling: self.settling(),
         })
@@ -41,6 +42,32 @@
             .collect()
     }
 
+    /// The buckets of which this instance knows that entries were lost.
+    fn incomplete(&self) -> Vec<message::Incomplete> {
+        let now = self.ticked_at;
+        self.ledger
+            .services
+            .iter()
+            .filter(|(_, service)| service.present)
+            .filter_map(|(_, service)| {
+                let table = &service.buckets;
+                let mut buckets = bitmap::Bitmap::new(table.buckets.len());
+                let mut until = now;
+                for (index, bucket) in table.buckets.iter().enumerate() {
+                    if bucket.incomplete_until > now {
+                        buckets.set(key::Bucket::from(index), true);
+                        until = until.max(bucket.incomplete_until);
+                    }
+                }
+                (until > now).then(|| message::Incomplete {
+                    buckets,
+                    remaining_ms: until.since(now).as_millis() as u32,
+                    service: table.service,
+                })
+            })
+            .collect()
+    }
+
     /// The settling buckets that this instance owns, grouped by fallback.
     fn settling(&self) -> Vec<message::Settling> {
         let mut all = Vec::new();
@@ -103,6 +130,15 @@
         for (_, service) in self.ledger.services.iter_mut() {
             service.buckets.end_settling();
         }
+        for (at, incomplete) in histories
+            .iter()
+            .flat_map(|(at, history)| history.incomplete.iter().map(move |item| (*at, item)))
+        {
+            let until = at + time::Duration::from_millis(u64::from(incomplete.remaining_ms));
+            if let Some(service) = self.ledger.service_by_name(incomplete.service) {
+                service.buckets.note_incomplete(&incomplete.buckets, until);
+            }
+        }
         for (at, settling) in histories
             .iter()
             .flat_map(|(at, history)| history.settling.iter().map(move |item| (*at, item)))
--- a/lib/src/coordination/ledger.rs
+++ b/lib/src/coordination/ledger.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use crate::coordination::{bucket, hash, health, message, table};
+use crate::coordination::{bucket, burn, hash, health, message, table};
 use crate::state::{arena, fleet, key, time, view};
 
 /// One target, of this or an earlier revision.
@@ -30,6 +30,8 @@
 pub struct Service {
     /// Buckets.
     pub buckets: bucket::Table,
+    /// Events for its objectives.
+    pub burn: burn::History,
     /// What the sheet says.
     pub item: fleet::Service,
     /// Whether the present sheet names it.
@@ -90,6 +92,7 @@
         }
         let key = self.services.insert(Service {
             buckets: bucket::Table::new(name, &[], now),
+            burn: burn::History::default(),
             item: item.clone(),
             present: true,
             share: item.flexible_share,
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -66,6 +66,8 @@
     pub synced: bool,
     /// Port of its first traffic shard.
     pub traffic_port: u16,
+    /// Version of its details.
+    pub version: u32,
     /// Version of our details that it has applied.
     pub version_seen: u32,
     /// Its availability zone.
@@ -177,6 +179,7 @@
         peer.revision = heartbeat.revision;
         peer.sent = heartbeat.sent;
         peer.synced = heartbeat.synced;
+        peer.version = heartbeat.version;
         let echo = heartbeat
             .echoes
             .iter()
@@ -309,6 +312,7 @@
                 peer.synced
                     && peer.prospective & own != 0
                     && peer.direct_revision == revision
+                    && peer.applied == peer.version
                     && peer.history.is_some()
             })
     }
--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -99,9 +99,22 @@
     pub service: key::Name,
 }
 
-/// What earlier revisions left behind, told to instances that join.
+/// Buckets whose entries were lost with the instances that held them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Incomplete {
+    /// The buckets.
+    pub buckets: bitmap::Bitmap,
+    /// Milliseconds until flows without an entry are over.
+    pub remaining_ms: u32,
+    /// The service.
+    pub service: key::Name,
+}
+
+/// What earlier revisions and failures left behind, told to instances that join.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct History {
+    /// Buckets whose entries were lost.
+    pub incomplete: Vec<Incomplete>,
     /// Targets that no sheet names any more.
     pub retired: Vec<Retired>,
     /// Settling buckets that the sender owns.
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod beat;
 pub mod bucket;
+pub mod burn;
+pub mod change;
 pub mod control;
 pub mod hash;
 pub mod health;
@@ -10,6 +12,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod message;
+pub mod objective;
 pub mod placement;
 pub mod publish;
 pub mod rank;
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -108,11 +108,23 @@
     pub(crate) table: flow::Table,
     held: arena::Arena<key::Held, Held>,
     lost: HashMap<flow::Key, flow::Tick>,
+    outcomes: Vec<Outcomes>,
     random: random::Source,
     recent: Vec<u64>,
     released: Vec<(key::Held, Verdict)>,
 }
 
+/// What a shard counts of a service's flows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outcomes {
+    /// Flows whose entries were lost.
+    pub lost: u32,
+    /// Flows that were refused.
+    pub refused: u32,
+    /// Flows that began.
+    pub started: u32,
+}
+
 /// What a shard counts on each target.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -201,6 +213,7 @@
             table: flow::Table::default(),
             held: arena::Arena::default(),
             lost: HashMap::new(),
+            outcomes: Vec::new(),
             random,
             recent: vec![0; RECENT_SLOTS],
             released: Vec::new(),
@@ -227,6 +240,19 @@
         &mut self.load
     }
 
+    /// Takes what was counted of each service's flows since the last call.
+    pub fn take_outcomes(&mut self) -> Vec<Outcomes> {
+        std::mem::take(&mut self.outcomes)
+    }
+
+    fn outcomes_of(&mut self, service: key::Service) -> &mut Outcomes {
+        if self.outcomes.len() <= service.index() {
+            self.outcomes
+                .resize(service.index() + 1, Outcomes::default());
+        }
+        &mut self.outcomes[service.index()]
+    }
+
     /// Held packets whose verdict is known now.
     pub fn released(&mut self) -> std::vec::Drain<'_, (key::Held, Verdict)> {
         self.released.drain(..)
@@ -257,7 +283,9 @@
         };
         match bucket.mode {
             view::Mode::Direct if self.may_go_direct(view, bucket, now) => {
-                self.count_direct(packet, bucket.home, is_fresh);
+                if self.count_direct(packet, bucket.home, is_fresh) {
+                    self.outcomes_of(service_key).started += 1;
+                }
                 forward(view, now, bucket.home)
             }
             view::Mode::Own => {
@@ -277,18 +305,19 @@
         bucket.owner == view.self_key || now < view.lease.peer(bucket.owner)
     }
 
-    fn count_direct(&mut self, packet: Packet, home: key::Target, is_fresh: bool) {
+    /// Counts a packet of a direct bucket; returns whether it begins a flow.
+    fn count_direct(&mut self, packet: Packet, home: key::Target, is_fresh: bool) -> bool {
         match packet.header.kind {
             packet::Kind::First => {
                 let recent = &mut self.recent[packet.flow.low as usize & (RECENT_SLOTS - 1)];
-                if *recent == packet.flow.low {
-                    if is_fresh {
-                        self.load.add_repeated(home);
-                    }
-                } else {
+                if *recent != packet.flow.low {
                     *recent = packet.flow.low;
                     self.load.add_first(home);
                     *slot(&mut self.load.direct, home) += 1.0;
+                    return true;
+                }
+                if is_fresh {
+                    self.load.add_repeated(home);
                 }
             }
             packet::Kind::Finish | packet::Kind::Reset => {
@@ -296,6 +325,7 @@
             }
             packet::Kind::Datagram | packet::Kind::Middle => {}
         }
+        false
     }
 
     /// A packet of a tracked bucket that another instance owns.
@@ -378,6 +408,7 @@
         let service = &view.services[service_key.index()];
         let Some(target) = self.choose(view, now, service, bucket) else {
             return if now >= bucket.known_at {
+                self.outcomes_of(service_key).refused += 1;
                 Verdict::Refuse
             } else {
                 Verdict::Drop(count::Counter::DropNoTarget)
@@ -387,6 +418,7 @@
         match self.insert(view, now, packet, service_key, target, flow::Phase::Opening) {
             Some(key) => {
                 self.load.add_first(target);
+                self.outcomes_of(service_key).started += 1;
                 if target != bucket.home {
                     *slot(&mut self.load.recent, target) += 1.0;
                 }
@@ -449,7 +481,9 @@
         bucket: &view::Bucket,
     ) -> Verdict {
         if !bucket.complete {
-            self.note_lost(now, packet.flow);
+            if self.note_lost(now, packet.flow) {
+                self.outcomes_of(service).lost += 1;
+            }
             return self.hold(now, packet, Wait::View);
         }
         if self.lost.contains_key(&packet.flow) {
@@ -467,11 +501,13 @@
     }
 
     /// Remembers a flow whose entry was lost with the instances that held it. It is not guessed
-    /// onto the fallback later, when the bucket is complete for all other flows.
-    fn note_lost(&mut self, now: time::Instant, flow: flow::Key) {
-        if self.lost.len() < self.limits.lost || self.lost.contains_key(&flow) {
-            self.lost.insert(flow, flow::Tick::at(now));
+    /// onto the fallback later, when the bucket is complete for all other flows. Returns whether
+    /// the flow is newly lost.
+    fn note_lost(&mut self, now: time::Instant, flow: flow::Key) -> bool {
+        if self.lost.len() >= self.limits.lost && !self.lost.contains_key(&flow) {
+            return false;
         }
+        self.lost.insert(flow, flow::Tick::at(now)).is_none()
     }
 
     /// Forgets lost flows that have been quiet for long enough to be over.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 pub mod fault;
 pub mod ip;
 pub mod manifest;
+pub mod report;
 pub mod settings;
 pub mod sheet;
 pub mod status;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -152,29 +152,63 @@
     1_024
 }
 
-/// Keys of each section; sections with numbered keys have none here.
-const SECTIONS: [(&str, &[&str]); 7] = [
-    ("fabric", &["return_address"]),
+/// A key and what it allows.
+type Key = (&'static str, &'static str);
+
+const ADDRESS: &str = "ADDRESS:PORT";
+const COUNT: &str = "a whole number";
+const PORT: &str = "a port from 1 to 65535";
+const SECRET: &str = "32 hexadecimal digits";
+const SIZE: &str = "a size such as 64KiB";
+const TIME: &str = "a time such as 250ms or 5m";
+
+/// Keys of each section; `peers` has numbers for keys.
+const SECTIONS: [(&str, &[Key]); 7] = [
+    ("fabric", &[("return_address", ADDRESS)]),
     (
         "instance",
         &[
-            "address",
-            "control_port",
-            "number",
-            "shards",
-            "status",
-            "stop_delay",
-            "traffic_port",
-            "zone",
+            ("address", "an IP address"),
+            ("control_port", PORT),
+            ("number", "a number from 0 to 31"),
+            ("shards", COUNT),
+            ("status", ADDRESS),
+            ("stop_delay", TIME),
+            ("traffic_port", PORT),
+            ("zone", "a name"),
         ],
     ),
-    ("keys", &["accepted", "current", "flow"]),
-    ("limits", &["control_budget", "entries", "held"]),
-    ("log", &["format"]),
+    (
+        "keys",
+        &[
+            ("accepted", "NUMBER:SECRET"),
+            ("current", "NUMBER:SECRET"),
+            ("flow", SECRET),
+        ],
+    ),
+    (
+        "limits",
+        &[
+            ("control_budget", SIZE),
+            ("entries", COUNT),
+            ("held", COUNT),
+        ],
+    ),
+    ("log", &[("format", "text, json")]),
     ("peers", &[]),
-    ("platform", &["address", "watch"]),
+    ("platform", &[("address", ADDRESS), ("watch", TIME)]),
 ];
 
+/// What a key allows.
+fn allowed(section: &str, key: &str) -> &'static str {
+    SECTIONS
+        .iter()
+        .filter(|(name, _)| *name == section)
+        .flat_map(|(_, keys)| *keys)
+        .find(|(name, _)| *name == key)
+        .map_or("", |(_, allowed)| *allowed)
+}
+
 /// One value and its line.
 #[derive(Clone, Debug)]
 struct Value {
@@ -196,7 +230,12 @@
         line: usize,
         text: impl std::fmt::Display,
     ) -> error_stack::Report<fault::Fault> {
-        fault::report(code, format!("{}:{line}: {code}: {text}", self.file))
+        let place = if line == 0 {
+            String::new()
+        } else {
+            format!("{line}:")
+        };
+        fault::report(code, format!("{}:{place} {code}: {text}", self.file))
     }
 
     fn section(&self, name: &str) -> Section {
@@ -217,7 +256,11 @@
                 Some(value) => self.error(
                     code::Code::SettingsValue,
                     value.line,
-                    format!("{name}.{key}: found \"{}\": {text}", value.text),
+                    format!(
+                        "{name}.{key}: found \"{}\", allowed: {}",
+                        value.text,
+                        allowed(name, &key)
+                    ),
                 ),
                 None => self.error(
                     code::Code::SettingsMissingKey,
@@ -314,7 +357,10 @@
             return Err(reader.error(code::Code::SettingsSyntax, line, text));
         }
         Some([]) => {}
-        Some(keys) => check_name(reader, line, "key", key, keys)?,
+        Some(keys) => {
+            let names: Vec<&str> = keys.iter().map(|(name, _)| *name).collect();
+            check_name(reader, line, "key", key, &names)?;
+        }
     }
     let value = Value {
         line,
--- a/lib/src/transport/control.rs
+++ b/lib/src/transport/control.rs
@@ -12,7 +12,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use hdrhistogram::Histogram;
 
-use crate::coordination::{bucket, control, ledger, message};
+use crate::coordination::{bucket, burn, control, ledger, message};
 use crate::protocol::{fault, sheet, status, wire};
 use crate::state::{code, count, fleet, key, time, view};
 use crate::transport::{clock, platform, probe, timer, traffic, transfer};
@@ -43,6 +43,8 @@
 
 /// What the control thread works with.
 pub struct Parts {
+    /// The burn report that operators see.
+    pub burn: Arc<ArcSwap<burn::Report>>,
     /// Clock of the process.
     pub clock: clock::Clock,
     /// Control decisions.
@@ -170,6 +172,7 @@
                 self.entries = entries;
                 self.parts.control.on_counts(now, shard, &counts);
             }
+            traffic::Event::Outcomes(outcomes) => self.parts.control.on_outcomes(now, &outcomes),
             traffic::Event::Times(name, times) => match self.times.get_mut(name) {
                 // Both histograms have the same bounds.
                 Some(kept) => drop(kept.add(&times)),
@@ -320,6 +323,9 @@
             zone: control.config.zone.clone(),
         };
         self.parts.status.store(Arc::new(status));
+        self.parts
+            .burn
+            .store(Arc::new(control.burn_report(now.since(self.started))));
     }
 }
 
--- a/standin/src/admin.rs
+++ b/lib/src/transport/http.rs
@@ -1,10 +1,10 @@
-//! Requests to the control pages of stand-ins and instances.
+//! Requests to the pages of instances and stand-ins.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quetzal_lib::protocol::fault;
-use quetzal_lib::state::code;
+use crate::protocol::fault;
+use crate::state::code;
 
 /// Gets a page as text. Errors are `InstanceUnreachable`.
 pub fn get(address: SocketAddr, path: &str) -> fault::Result<String> {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -3,6 +3,8 @@
 pub mod batch;
 pub mod clock;
 pub mod control;
+pub mod files;
+pub mod http;
 pub mod log;
 pub mod lookup;
 pub mod node;
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
-use crate::coordination::{control, health, membership, placement, steering};
+use crate::coordination::{burn, control, health, membership, placement, steering};
 use crate::protocol::{fault, settings, status, wire};
 use crate::state::{code, count, key, random, time, view};
 use crate::transport::{
@@ -89,6 +89,7 @@
         &settings.instance.zone,
     );
     let status = Arc::new(ArcSwap::from_pointee(status::Status::default()));
+    let burn = Arc::new(ArcSwap::from_pointee(burn::Report::default()));
     let offer: transfer::Offer = Arc::new(ArcSwapOption::empty());
     let revision = Arc::new(AtomicU64::new(0));
 
@@ -125,6 +126,7 @@
     serve_pages(
         settings,
         Arc::clone(&status),
+        Arc::clone(&burn),
         Arc::clone(&view),
         threads.clone(),
     )?;
@@ -132,6 +134,7 @@
         "traffic_port" => settings.instance.traffic_port, "shards" => settings.instance.shards);
 
     let parts = control_thread::Parts {
+        burn,
         clock,
         control,
         counters,
@@ -301,6 +304,7 @@
 fn serve_pages(
     settings: &settings::Settings,
     status: Arc<ArcSwap<status::Status>>,
+    burn: Arc<ArcSwap<burn::Report>>,
     view: Arc<ArcSwap<view::View>>,
     threads: Vec<Sender<traffic::Command>>,
 ) -> fault::Result<()> {
@@ -312,6 +316,7 @@
             "/ready" if status.ready => page::text(200, "ready\n"),
             "/ready" => page::text(503, format!("{}\n", code::Code::NotReady)),
             "/status" => page::json(&**status),
+            "/burn" => page::json(&**burn.load()),
             "/metrics" => page::text(200, status::metrics(&status)),
             "/flow" => lookup::answer(request, secret, &view.load(), &threads),
             _ => page::text(404, format!("{}\n", code::Code::NotFound)),
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -37,6 +37,8 @@
     Census(replica::Census),
     /// Open flows by target, and the number of flow entries.
     Counts(Vec<control::Count>, u64),
+    /// What became of each service's flows since the last event.
+    Outcomes(Vec<steering::Outcomes>),
     /// Times measured since the last event, in microseconds.
     Times(&'static str, Histogram<u64>),
 }
@@ -424,6 +426,8 @@
                 tell(&self.parts, Event::Times(name, measured));
             }
         }
+        let outcomes = self.parts.shard.take_outcomes();
+        tell(&self.parts, Event::Outcomes(outcomes));
         let bytes = std::mem::take(&mut self.control_bytes);
         tell(&self.parts, Event::Bytes(bytes));
     }
--- /dev/null
+++ b/lib/tests/decoders.rs
@@ -0,0 +1,136 @@
+//! Decoders take any bytes without a panic and give back what was encoded.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use quetzal_lib::coordination::{message, sheet as acceptance};
+use quetzal_lib::protocol::{ip, manifest, settings, sheet, wire};
+use quetzal_lib::state::{count, flow, key};
+
+fn ring(number: u8, secret: u64) -> wire::Ring {
+    wire::Ring {
+        keys: vec![wire::Key {
+            number,
+            secret: (secret, !secret),
+        }],
+    }
+}
+
+fn place(flow: u64) -> message::Place {
+    message::Place {
+        age: 3,
+        flow: flow::Key {
+            high: flow,
+            low: !flow,
+        },
+        phase: flow::Phase::Open,
+        target: key::Name(flow.wrapping_mul(7)),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(31),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let ring = ring(1, 5);
+        let _ = ip::parse(&bytes);
+        let _ = wire::kind(&bytes);
+        let _ = wire::decode_relay(&ring, &bytes);
+        prop_assert!(wire::decode::<message::Heartbeat>(&ring, &bytes).is_err());
+        prop_assert!(wire::decode::<message::Traffic>(&ring, &bytes).is_err());
+    }
+
+    #[test]
+    fn damaged_packets_are_parsed_or_refused(
+        mut bytes in prop::collection::vec(any::<u8>(), 20..120),
+        version in prop_oneof![Just(0x45u8), Just(0x46), Just(0x4f), Just(0x60)],
+        protocol in prop_oneof![Just(6u8), Just(17), Just(1), Just(44)],
+    ) {
+        bytes[0] = version;
+        bytes[6] = protocol;
+        bytes[9] = protocol;
+        let length = bytes.len() as u16;
+        bytes[2..4].copy_from_slice(&length.to_be_bytes());
+        if let Ok(header) = ip::parse(&bytes) {
+            let _ = ip::refusal(&bytes, &header);
+        }
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused(text in "\\PC{0,200}") {
+        let documents = [message::Document { name: "any.toml".into(), text: text.clone() }];
+        let _ = sheet::draft(1, &documents);
+        let _ = manifest::parse(&text);
+        let _ = settings::parse("any.ini", &text);
+    }
+
+    #[test]
+    fn frames_come_back_and_damage_is_noticed(
+        flows in prop::collection::vec(any::<u64>(), 1..30),
+        sender in 0u16..32,
+        flip in any::<prop::sample::Index>(),
+    ) {
+        let ring = ring(9, 77);
+        let message = message::Traffic::Place(flows.iter().map(|flow| place(*flow)).collect());
+        let sender = key::Instance(sender);
+        let mut frame = wire::encode(&ring, wire::Kind::Traffic, sender, &message);
+        let decoded = wire::decode::<message::Traffic>(&ring, &frame);
+        prop_assert_eq!(decoded, Ok((sender, message)));
+        let index = flip.index(frame.len());
+        frame[index] ^= 0x10;
+        prop_assert!(wire::decode::<message::Traffic>(&ring, &frame).is_err());
+    }
+
+    #[test]
+    fn relays_come_back(packet in prop::collection::vec(any::<u8>(), 0..200), hops in 0u8..3) {
+        let ring = ring(2, 3);
+        let mut frame = Vec::new();
+        let relay = message::Relay { hops, revision: 400 };
+        wire::encode_relay(&ring, key::Instance(4), relay, &packet, &mut frame);
+        let head = frame.len();
+        prop_assert!(head <= wire::MAX_RELAY_BYTES);
+        frame.extend_from_slice(&packet);
+        prop_assert_eq!(wire::decode_relay(&ring, &frame), Ok((key::Instance(4), relay, head)));
+    }
+}
+
+#[test]
+fn keys_rotate_without_a_gap() {
+    let old = ring(1, 10);
+    let new = ring(2, 20);
+    let both = |first: &wire::Ring, second: &wire::Ring| wire::Ring {
+        keys: first.keys.iter().chain(&second.keys).copied().collect(),
+    };
+    let sender = key::Instance(0);
+    let message = message::Traffic::Kept(vec![1]);
+    let by_old = wire::encode(&both(&old, &new), wire::Kind::Traffic, sender, &message);
+    let by_new = wire::encode(&both(&new, &old), wire::Kind::Traffic, sender, &message);
+    for ring in [both(&old, &new), both(&new, &old)] {
+        assert!(wire::decode::<message::Traffic>(&ring, &by_old).is_ok());
+        assert!(wire::decode::<message::Traffic>(&ring, &by_new).is_ok());
+    }
+    assert_eq!(
+        wire::decode::<message::Traffic>(&new, &by_old),
+        Err(count::Counter::DropAuthentication)
+    );
+}
+
+#[test]
+fn a_document_of_a_megabyte_is_read_and_a_larger_one_refused() {
+    let head = "[[zone]]\nname = \"a\"\n# ";
+    let text = |size: usize| format!("{head}{}", "x".repeat(size - head.len()));
+    let read = |size| {
+        let document = message::Document {
+            name: "large.toml".into(),
+            text: text(size),
+        };
+        sheet::draft(1, &[document])
+    };
+    assert!(read(acceptance::MAX_DOCUMENT_BYTES).is_ok());
+    assert!(read(acceptance::MAX_DOCUMENT_BYTES + 1).is_err());
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,10 @@
 //! Runner of the library's tests.
 
+mod decoders;
 mod layers;
+mod limits;
+mod packets;
 mod planned;
 mod scenario;
+mod tables;
 mod unplanned;
--- /dev/null
+++ b/lib/tests/tables.rs
@@ -0,0 +1,125 @@
+//! Default tables: even, equal everywhere, and little disturbed by a change.
+
+use quetzal_lib::coordination::{hash, ledger, rank, table};
+use quetzal_lib::state::{code, flow, key, packet};
+
+fn members(numbers: impl Iterator<Item = u32>) -> Vec<table::Member> {
+    numbers
+        .map(|number| table::Member {
+            name: ledger::name_of(&format!("target-{number}")),
+            target: key::Target(number),
+            weight: 3,
+        })
+        .collect()
+}
+
+#[test]
+fn homes_are_even_to_one_bucket() {
+    let homes = table::homes(key::Name(1), 512, &members(0..14));
+    let counts: Vec<usize> = (0..14)
+        .map(|number| {
+            homes
+                .iter()
+                .filter(|home| **home == key::Target(number))
+                .count()
+        })
+        .collect();
+    assert!(
+        counts.iter().all(|count| (36..=37).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn homes_do_not_depend_on_the_order_of_targets() {
+    let forward = members(0..14);
+    let backward: Vec<table::Member> = forward.iter().rev().copied().collect();
+    assert_eq!(
+        table::homes(key::Name(1), 512, &forward),
+        table::homes(key::Name(1), 512, &backward)
+    );
+}
+
+#[test]
+fn removing_a_target_moves_few_buckets() {
+    let before = table::homes(key::Name(1), 512, &members(0..14));
+    let after = table::homes(key::Name(1), 512, &members(1..14));
+    let moved = before
+        .iter()
+        .zip(&after)
+        .filter(|(old, new)| old != new)
+        .count();
+    // The 37 buckets of the target itself, and at most as many again to stay even.
+    assert!(moved <= 74, "{moved} buckets moved");
+}
+
+#[test]
+fn weights_set_the_shares() {
+    let mut members = members(0..4);
+    members[0].weight = 6;
+    members[1].weight = 0;
+    let homes = table::homes(key::Name(1), 512, &members);
+    let count = |number| {
+        homes
+            .iter()
+            .filter(|home| **home == key::Target(number))
+            .count()
+    };
+    assert_eq!((count(0), count(1), count(2), count(3)), (256, 0, 128, 128));
+}
+
+/// The hash must never change between releases: flows would move during an upgrade.
+#[test]
+fn flow_keys_are_the_same_in_every_release() {
+    let tuple = packet::Tuple {
+        destination: [10, 0, 0, 1].into(),
+        destination_port: 80,
+        protocol: packet::Protocol::Tcp,
+        source: [10, 0, 0, 9].into(),
+        source_port: 4_000,
+    };
+    let key = hash::flow_key(
+        hash::Secret {
+            first: 1,
+            second: 2,
+        },
+        &tuple,
+    );
+    insta::assert_debug_snapshot!(key);
+    assert_ne!(key, flow::Key { high: 0, low: 0 });
+}
+
+#[test]
+fn the_deputy_stands_in_another_zone_where_there_is_one() {
+    let candidate = |instance: u16, zone: u64| rank::Candidate {
+        instance: key::Instance(instance),
+        zone: key::Name(zone),
+    };
+    let candidates = [
+        candidate(0, 1),
+        candidate(1, 1),
+        candidate(2, 1),
+        candidate(3, 2),
+    ];
+    for bucket in 0..64 {
+        let pair = rank::pair(key::Name(5), key::Bucket(bucket), &candidates);
+        let zone = |key: Option<key::Instance>| if key == Some(key::Instance(3)) { 2 } else { 1 };
+        assert_ne!(zone(pair.owner), zone(pair.deputy), "bucket {bucket}");
+    }
+}
+
+#[test]
+fn the_document_lists_every_result_code() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/result-codes.md");
+    let text = std::fs::read_to_string(path).expect("the document");
+    let listed: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("| QZ"))
+        .collect();
+    let expected: Vec<String> = code::Code::ALL.iter().map(|code| row(*code)).collect();
+    assert_eq!(listed, expected);
+}
+
+fn row(code: code::Code) -> String {
+    format!("| {code} | {} | {} |", code.meaning(), code.exit_status())
+}
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -12,8 +12,9 @@
 use nix::unistd::Pid;
 use quetzal_lib::protocol::{fault, status};
 use quetzal_lib::state::code;
+use quetzal_lib::transport::http;
 
-use crate::{admin, caller, deployment, target};
+use crate::{caller, deployment, target};
 
 /// Seconds of traffic by default.
 pub const DEFAULT_SECONDS: u64 = 45;
@@ -217,7 +218,7 @@
             "/publish?directory={}&revision={revision}",
             directory.to_string_lossy()
         );
-        admin::get(self.deployment.platform(), &path).map(drop)
+        http::get(self.deployment.platform(), &path).map(drop)
     }
 
     fn start_instance(&mut self, instance: usize) -> fault::Result<()> {
@@ -234,7 +235,7 @@
     }
 
     fn status(&self, instance: usize) -> Option<status::Status> {
-        admin::get_json(self.deployment.status(instance), "/status").ok()
+        http::get_json(self.deployment.status(instance), "/status").ok()
     }
 
     fn wait_ready(&self) -> fault::Result<()> {
@@ -285,15 +286,15 @@
         self.phase("planned stop", true, length * 10 / 100);
         self.start_instance(stopped)?;
         self.phase("instance joins", true, length * 10 / 100);
-        admin::get(self.deployment.fabric_admin(), &format!("/?cut={cut_zone}"))?;
+        http::get(self.deployment.fabric_admin(), &format!("/?cut={cut_zone}"))?;
         self.phase("zone cut", false, length * 7 / 100);
-        admin::get(
+        http::get(
             self.deployment.fabric_admin(),
             &format!("/?heal={cut_zone}"),
         )?;
-        admin::get(self.deployment.platform(), "/fault?down=1")?;
+        http::get(self.deployment.platform(), "/fault?down=1")?;
         self.phase("zone healed, platform down", false, length * 13 / 100);
-        admin::get(admin_page, "/stop")?;
+        http::get(admin_page, "/stop")?;
         self.drain();
         Ok(())
     }
@@ -308,11 +309,11 @@
     }
 
     fn callers(&self) -> caller::Report {
-        admin::get_json(self.deployment.caller_admin(), "/").unwrap_or_default()
+        http::get_json(self.deployment.caller_admin(), "/").unwrap_or_default()
     }
 
     fn targets(&self) -> BTreeMap<String, target::Report> {
-        admin::get_json(self.deployment.target_admin(), "/").unwrap_or_default()
+        http::get_json(self.deployment.target_admin(), "/").unwrap_or_default()
     }
 
     /// Lets traffic run for a time and notes the flows that broke in it.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,7 +1,6 @@
 //! Small stand-ins for what surrounds the system: the platform, the fabric, targets and callers,
 //! and a demonstration that runs them together with real instances.
 
-pub mod admin;
 pub mod caller;
 pub mod demo;
 pub mod deployment;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -10,7 +10,7 @@
 
 use quetzal_lib::coordination::message;
 use quetzal_lib::protocol::{fault, manifest};
-use quetzal_lib::transport::page;
+use quetzal_lib::transport::{files, page};
 
 /// How often a waiting watch looks again.
 const WATCH_STEP: Duration = Duration::from_millis(20);
@@ -36,35 +36,6 @@
     }
 }
 
-/// Reads a sheet's documents from a directory of TOML files, and makes the manifest.
-pub fn read_directory(directory: &Path, revision: u64) -> std::io::Result<message::Bundle> {
-    let mut documents = Vec::new();
-    for entry in std::fs::read_dir(directory)? {
-        let path = entry?.path();
-        if path
-            .extension()
-            .is_some_and(|extension| extension == "toml")
-        {
-            let name = path
-                .file_name()
-                .unwrap_or_default()
-                .to_string_lossy()
-                .into_owned();
-            let text = std::fs::read_to_string(&path)?;
-            documents.push(message::Document {
-                name: name.into(),
-                text,
-            });
-        }
-    }
-    documents.sort_by(|first, second| first.name.cmp(&second.name));
-    let manifest = manifest::write(revision, &documents);
-    Ok(message::Bundle {
-        documents,
-        manifest,
-    })
-}
-
 /// Serves at an address on a thread of its own.
 pub fn start(address: SocketAddr) -> fault::Result<()> {
     let state = Arc::new(Mutex::new(State::default()));
@@ -92,12 +63,12 @@
         .value("revision")
         .and_then(|text| text.parse().ok())
         .unwrap_or(1);
-    match read_directory(Path::new(directory), revision) {
+    match files::read_sheet(Path::new(directory), revision) {
         Ok(bundle) => {
             state.former = state.bundle.replace(bundle);
             page::text(200, "published\n")
         }
-        Err(error) => page::text(400, error.to_string()),
+        Err(report) => page::text(400, fault::texts(&report).join("\n")),
     }
 }
 
