--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -26,6 +26,7 @@
 /// Replicas requested but not acknowledged, and messages to send.
 #[derive(Debug, Default)]
 pub struct Outbox {
+    cursor: usize,
     ends: BTreeMap<key::Instance, Vec<flow::Key>>,
     kept: BTreeMap<key::Instance, Vec<u64>>,
     pending: BTreeMap<key::Entry, Pending>,
@@ -73,7 +74,9 @@
 
 /// The bucket of an entry.
 pub fn bucket_of<'a>(view: &'a view::View, entry: &flow::Entry) -> Option<&'a view::Bucket> {
-    let service = view.services.get(entry.service.index())?;
+    let service = view
+        .services
+        .get(view.target(entry.target)?.service.index())?;
     service.buckets.get(service.bucket(entry.flow).index())
 }
 
@@ -181,9 +184,6 @@
         if let Some(key) = self.table.find(place.flow) {
             self.merge(view, now, from, key, target, placed);
         } else {
-            let Some(service) = view.target(target).map(|target| target.service) else {
-                return;
-            };
             if self.table.len() >= self.limits.entries {
                 return;
             }
@@ -196,7 +196,6 @@
                 refreshed: tick,
                 role: flow::Role::Copy,
                 seen: tick,
-                service,
                 target,
             });
         }
@@ -289,7 +288,9 @@
         self.repeat_requests(view, now);
         self.retry_held(view, now, &[]);
         let mut keys = std::mem::take(&mut self.replicas.sweep_keys);
-        let complete = self.table.sweep(slots, &mut keys);
+        let complete = self
+            .table
+            .sweep(&mut self.replicas.cursor, slots, &mut keys);
         for key in &keys {
             self.sweep_one(view, now, *key);
         }
@@ -357,7 +358,10 @@
         let Some(entry) = self.table.get(key).copied() else {
             return;
         };
-        let Some(service) = view.services.get(entry.service.index()) else {
+        let Some(service_key) = view.target(entry.target).map(|target| target.service) else {
+            return;
+        };
+        let Some(service) = view.services.get(service_key.index()) else {
             return;
         };
         let number = service.bucket(entry.flow);
@@ -380,7 +384,7 @@
                 *self
                     .replicas
                     .pass_deviating
-                    .entry((entry.service, number))
+                    .entry((service_key, number))
                     .or_default() += 1;
             }
             self.refresh_copies(now, key, service.idle_timeout);
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -112,6 +112,7 @@
     random: random::Source,
     recent: Vec<u64>,
     released: Vec<(key::Held, Verdict)>,
+    victim_cursor: usize,
 }
 
 /// What a shard counts of a service's flows.
@@ -217,6 +218,7 @@
             random,
             recent: vec![0; RECENT_SLOTS],
             released: Vec::new(),
+            victim_cursor: 0,
         }
     }
 
@@ -415,7 +417,7 @@
             };
         };
         let deviates = replica::needs_copies(bucket, target);
-        match self.insert(view, now, packet, service_key, target, flow::Phase::Opening) {
+        match self.insert(view, now, packet, target, flow::Phase::Opening) {
             Some(key) => {
                 self.load.add_first(target);
                 self.outcomes_of(service_key).started += 1;
@@ -492,7 +494,7 @@
         }
         let phase = phase_after(flow::Phase::Open, packet.header.kind);
         if packet.header.kind != packet::Kind::Reset
-            && let Some(key) = self.insert(view, now, packet, service, bucket.fallback, phase)
+            && let Some(key) = self.insert(view, now, packet, bucket.fallback, phase)
             && replica::needs_copies(bucket, bucket.fallback)
         {
             self.request_copies(view, now, key, bucket);
@@ -543,7 +545,6 @@
         view: &view::View,
         now: time::Instant,
         packet: Packet,
-        service: key::Service,
         target: key::Target,
         phase: flow::Phase,
     ) -> Option<key::Entry> {
@@ -560,7 +561,6 @@
             refreshed: tick,
             role: flow::Role::Owned,
             seen: tick,
-            service,
             target,
         });
         if self.table.get(key).is_some_and(flow::Entry::is_counted) {
@@ -573,7 +573,8 @@
     /// Gives up one entry whose flow is found at the fallback without it.
     fn give_up_one(&mut self, view: &view::View) -> bool {
         let mut keys = Vec::with_capacity(VICTIM_PROBES);
-        self.table.sweep(VICTIM_PROBES, &mut keys);
+        self.table
+            .sweep(&mut self.victim_cursor, VICTIM_PROBES, &mut keys);
         let victim = keys.into_iter().find(|key| {
             self.table.get(*key).is_some_and(|entry| {
                 entry.role == flow::Role::Owned
--- a/lib/src/state/flow.rs
+++ b/lib/src/state/flow.rs
@@ -1,6 +1,7 @@
 //! The flow table of one shard: exact entries in an arena and an index over them.
 //!
-//! An entry takes 40 bytes and its index slot about 6 to 11, below the bound of 64 bytes a flow.
+//! An entry takes 40 bytes and its index slot 6 to 11, below the bound of 64 bytes a flow. The
+//! service of an entry is that of its target.
 
 use hashbrown::HashTable;
 use serde::{Deserialize, Serialize};
@@ -75,8 +76,6 @@
     pub role: Role,
     /// Tick of the last packet.
     pub seen: Tick,
-    /// Service of the flow.
-    pub service: key::Service,
     /// Target of the flow.
     pub target: key::Target,
 }
@@ -91,7 +90,6 @@
 /// Entries of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    cursor: usize,
     entries: arena::Arena<key::Entry, Entry>,
     index: HashTable<key::Entry>,
 }
@@ -162,19 +160,20 @@
         self.entries.iter()
     }
 
-    /// The keys of the next `count` slots in turn, and whether the pass over all slots is complete.
-    pub fn sweep(&mut self, count: usize, keys: &mut Vec<key::Entry>) -> bool {
+    /// The keys of `count` slots from a cursor on, which moves behind them. Returns whether the pass
+    /// over all slots is complete; the cursor is then back at the start.
+    pub fn sweep(&self, cursor: &mut usize, count: usize, keys: &mut Vec<key::Entry>) -> bool {
         keys.clear();
         let slots = self.entries.slot_count();
-        let end = (self.cursor + count).min(slots);
-        for index in self.cursor..end {
+        let end = (*cursor + count).min(slots);
+        for index in *cursor..end {
             let key = key::Entry::from(index);
             if self.entries.get(key).is_some() {
                 keys.push(key);
             }
         }
         let complete = end >= slots;
-        self.cursor = if complete { 0 } else { end };
+        *cursor = if complete { 0 } else { end };
         complete
     }
 }
--- /dev/null
+++ b/testutils/src/bin/quetzal-measure.rs
@@ -0,0 +1,305 @@
+//! Measures one traffic thread and its memory.
+//!
+//! `quetzal-measure packets` sends batches through a traffic thread and through a bare loop that
+//! receives and sends batches of the same size, in turns on the same machine, and prints the ratio.
+//! `quetzal-measure memory` prints bytes per flow entry; `quetzal-measure control` prints what the
+//! control decisions of one instance take for growing numbers of targets, peers and entries.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::bounded;
+use etherparse::PacketBuilder;
+use quetzal_lib::coordination::{hash, placement, steering};
+use quetzal_lib::protocol::wire;
+use quetzal_lib::state::{flow, key, packet, random, time, view};
+use quetzal_lib::transport::{batch, clock, traffic};
+use quetzal_testutils::{caller, fleet, sheet};
+
+/// Time of one turn.
+const TURN: Duration = Duration::from_secs(2);
+/// Turns of each kind.
+const TURNS: usize = 5;
+/// Flows that the packets belong to.
+const FLOWS: usize = 4_096;
+/// Payload of a packet.
+const PAYLOAD: usize = 100;
+
+fn address(last: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 43, 0, last], port))
+}
+
+fn packets() -> Vec<Vec<u8>> {
+    (0..FLOWS)
+        .map(|number| {
+            let port = 1_024 + number as u16;
+            let mut bytes = Vec::new();
+            PacketBuilder::ipv4([10, 9, 0, 1], [10, 0, 0, 1], 64)
+                .tcp(port, 80, 9, 1_024)
+                .write(&mut bytes, &[0; PAYLOAD])
+                .expect("a packet fits in memory");
+            bytes
+        })
+        .collect()
+}
+
+/// Sends packets to an address as fast as the socket takes them until told to stop.
+fn offer(to: SocketAddr, stop: &AtomicBool) {
+    let socket = UdpSocket::bind(address(9, 0)).expect("a socket on loopback");
+    let packets = packets();
+    let receiver = batch::Receiver::default();
+    let mut sender = batch::Sender::default();
+    let mut next = 0;
+    while !stop.load(Ordering::Relaxed) {
+        for _ in 0..batch::BATCH {
+            sender.push(&[], batch::Body::Owned(packets[next].clone()), to);
+            next = (next + 1) % packets.len();
+        }
+        sender.flush(&socket, &receiver);
+    }
+}
+
+/// Counts what arrives at an address until told to stop.
+fn sink(at: SocketAddr, stop: &AtomicBool, count: &AtomicU64) {
+    let socket = batch::bind(at, Duration::from_millis(20)).expect("a socket on loopback");
+    let mut receiver = batch::Receiver::default();
+    while !stop.load(Ordering::Relaxed) {
+        let received = receiver.receive(&socket).unwrap_or(0);
+        count.fetch_add(received as u64, Ordering::Relaxed);
+    }
+}
+
+/// The bare loop: receives a batch and sends it on.
+fn bare(at: SocketAddr, to: SocketAddr, stop: &AtomicBool, count: &AtomicU64) {
+    let socket = batch::bind(at, Duration::from_millis(20)).expect("a socket on loopback");
+    let mut receiver = batch::Receiver::default();
+    let mut sender = batch::Sender::default();
+    while !stop.load(Ordering::Relaxed) {
+        let received = receiver.receive(&socket).unwrap_or(0);
+        for index in 0..received {
+            let length = receiver.bytes(index).len();
+            sender.push(&[], batch::Body::Slot(index, 0..length), to);
+        }
+        sender.flush(&socket, &receiver);
+        count.fetch_add(received as u64, Ordering::Relaxed);
+    }
+}
+
+/// A view in which every bucket of the only service is direct and its home is at `to`.
+fn direct_view(to: SocketAddr) -> view::View {
+    let mut options = fleet::Options::new(1);
+    options.nodes = 1;
+    options.zones = 1;
+    let mut fleet = fleet::Fleet::new(options);
+    fleet.publish(sheet::sheet(1, &[sheet::Service::new("only", 14, 0)]));
+    fleet.run(Duration::from_secs(6));
+    let mut view = (*fleet.nodes[0].view).clone();
+    for target in &mut view.targets {
+        target.address = to;
+    }
+    view
+}
+
+fn traffic_thread(at: SocketAddr, to: SocketAddr) -> (traffic::Parts, impl Fn(), Arc<AtomicU64>) {
+    let (commands, queue) = bounded(4);
+    let view = Arc::new(ArcSwap::from_pointee(direct_view(to)));
+    let limits = steering::Limits::default();
+    let random = random::Source::new(1);
+    let shard = steering::Shard::new(limits, placement::Policy::default(), random);
+    let counters = Arc::clone(&shard.counters);
+    let forwarded = Arc::new(AtomicU64::new(0));
+    let total = Arc::clone(&forwarded);
+    let parts = traffic::Parts {
+        clock: clock::Clock::start(),
+        commands: queue,
+        events: Box::new(move |_| {
+            let counter = quetzal_lib::state::count::Counter::Forwarded;
+            total.store(counters.get(counter), Ordering::Relaxed);
+            true
+        }),
+        return_address: to,
+        ring: wire::Ring {
+            keys: vec![wire::Key {
+                number: 1,
+                secret: (1, 2),
+            }],
+        },
+        secret: caller::SECRET,
+        shard,
+        shard_number: 0,
+        shards: 1,
+        socket: batch::bind(at, Duration::from_millis(10)).expect("a socket on loopback"),
+        siblings: vec![at],
+        view,
+    };
+    let stop = move || {
+        // The thread takes the command with its next wait.
+        let _ = commands.send(traffic::Command::Stop);
+    };
+    (parts, stop, forwarded)
+}
+
+/// Packets a second through one thread, the bare loop or the traffic thread.
+fn turn(is_bare: bool, number: u16) -> f64 {
+    let (at, to) = (address(1, 6_080 + number), address(2, 6_080 + number));
+    let stop = Arc::new(AtomicBool::new(false));
+    let (arrived, passed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let mut threads = Vec::new();
+    let (flag, count) = (Arc::clone(&stop), Arc::clone(&arrived));
+    threads.push(std::thread::spawn(move || sink(to, &flag, &count)));
+    let mut end: Option<Box<dyn Fn()>> = None;
+    if is_bare {
+        let (flag, count) = (Arc::clone(&stop), Arc::clone(&passed));
+        threads.push(std::thread::spawn(move || bare(at, to, &flag, &count)));
+    } else {
+        let (parts, stop_thread, _) = traffic_thread(at, to);
+        threads.push(std::thread::spawn(move || {
+            traffic::run(parts).expect("the traffic thread runs");
+        }));
+        end = Some(Box::new(stop_thread));
+    }
+    let flag = Arc::clone(&stop);
+    threads.push(std::thread::spawn(move || offer(at, &flag)));
+    std::thread::sleep(TURN / 4);
+    let (from, started) = (arrived.load(Ordering::Relaxed), Instant::now());
+    std::thread::sleep(TURN);
+    let rate = (arrived.load(Ordering::Relaxed) - from) as f64 / started.elapsed().as_secs_f64();
+    stop.store(true, Ordering::Relaxed);
+    if let Some(end) = end {
+        end();
+    }
+    for thread in threads {
+        // A thread that panicked has said why.
+        let _ = thread.join();
+    }
+    rate
+}
+
+fn median(values: &mut [f64]) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn measure_packets() {
+    let mut ratios = Vec::new();
+    for number in 0..TURNS as u16 {
+        let bare = turn(true, number * 2);
+        let thread = turn(false, number * 2 + 1);
+        println!(
+            "bare {bare:.0} packets/s, traffic thread {thread:.0}, ratio {:.2}",
+            thread / bare
+        );
+        ratios.push(thread / bare);
+    }
+    println!("median ratio {:.2}", median(&mut ratios));
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0);
+    pages * PAGE_BYTES
+}
+
+fn measure_memory() {
+    for count in [100_000u64, 250_000, 500_000, 1_000_000] {
+        let before = resident();
+        let mut table = flow::Table::default();
+        for number in 0..count {
+            let tuple = packet::Tuple {
+                destination: [10, 0, 0, 1].into(),
+                destination_port: 80,
+                protocol: packet::Protocol::Tcp,
+                source: (number as u32).to_be_bytes().into(),
+                source_port: 4_000,
+            };
+            let tick = flow::Tick::at(time::Instant(0));
+            table.insert(flow::Entry {
+                confirmed: true,
+                copies: 0,
+                flow: hash::flow_key(caller::SECRET, &tuple),
+                phase: flow::Phase::Open,
+                placed: tick,
+                refreshed: tick,
+                role: flow::Role::Owned,
+                seen: tick,
+                target: key::Target(0),
+            });
+        }
+        let used = resident() - before;
+        println!(
+            "{count} entries: {used} bytes, {:.1} a flow ({} in the entry)",
+            used as f64 / count as f64,
+            std::mem::size_of::<flow::Entry>()
+        );
+        drop(table);
+    }
+}
+
+/// Processor time of this thread so far.
+fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text
+        .split_whitespace()
+        .next()
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0);
+    Duration::from_nanos(nanos)
+}
+
+/// Runs a fleet without traffic and prints what one instance's control takes.
+fn control_of(nodes: usize, services: usize, targets: u32) {
+    const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    const LENGTH: Duration = Duration::from_secs(20);
+    let before = resident();
+    let mut options = fleet::Options::new(1);
+    options.nodes = nodes;
+    let mut fleet = fleet::Fleet::new(options);
+    let services: Vec<sheet::Service> = NAMES
+        .iter()
+        .take(services)
+        .map(|name| sheet::Service::new(name, targets, 100))
+        .collect();
+    fleet.publish(sheet::sheet(1, &services));
+    fleet.run(Duration::from_secs(6));
+    let (from, bytes) = (processor_time(), fleet.control_bytes);
+    fleet.run(LENGTH);
+    let spent = (processor_time() - from).as_secs_f64() / LENGTH.as_secs_f64() / nodes as f64;
+    let bytes = (fleet.control_bytes - bytes) as f64 / LENGTH.as_secs_f64() / nodes as f64;
+    println!(
+        "{nodes} instances, {} services of {targets} targets: {:.3}% of a core, {bytes:.0} B/s, \
+         {} KiB an instance",
+        services.len(),
+        spent * 100.0,
+        (resident() - before) / 1_024 / nodes as u64
+    );
+}
+
+fn measure_control() {
+    for nodes in [3, 5, 9, 17] {
+        control_of(nodes, 2, 14);
+    }
+    for services in [1, 2, 4, 8] {
+        control_of(5, services, 14);
+    }
+    for targets in [4, 14, 28, 56] {
+        control_of(5, 2, targets);
+    }
+}
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("packets") => measure_packets(),
+        Some("memory") => measure_memory(),
+        Some("control") => measure_control(),
+        _ => println!("usage: quetzal-measure packets|memory|control"),
+    }
+}
