daemon: failure tests over real processes; drop all that waited during a freeze

Cause, found by the freeze test (seen failing: one short request reset): a pause ends the wait for packets with an empty batch, so nothing was dropped and the next batch, which had waited for seconds, was handled as fresh. Change: the socket is read until it has no more than one batch.

--- /dev/null
+++ b/daemon/tests/runner.rs
@@ -0,0 +1,5 @@
+//! Runner of the daemon's tests: real processes on loopback.
+
+mod command_line;
+mod failures;
+mod site;
--- /dev/null
+++ b/daemon/tests/site.rs
@@ -0,0 +1,197 @@
+//! A small site: real instances as processes, stand-ins as threads.
+
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use quetzal_lib::protocol::status;
+use quetzal_lib::transport::http;
+use quetzal_standin::{caller, deployment, fabric, platform, target};
+
+/// Longest wait for a condition.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sites run one after the other: a machine that is too busy would look like a failure.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// A running site.
+pub struct Site {
+    _turn: MutexGuard<'static, ()>,
+    /// Addresses, sheets and settings.
+    pub deployment: deployment::Deployment,
+    directory: PathBuf,
+    instances: Vec<Option<Child>>,
+}
+
+impl Site {
+    /// Starts a site on its own block of addresses, with callers at work.
+    pub fn start(block: u8) -> Self {
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut deployment = deployment::bureau();
+        for service in &mut deployment.services {
+            service.load.feed_millis = 2_000;
+        }
+        deployment.move_to(block);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("site-{block}"));
+        std::fs::create_dir_all(&directory).expect("a directory for the test");
+        platform::start(deployment.platform()).expect("the platform starts");
+        let (map, targets) = (deployment.fabric(7), deployment.targets());
+        std::thread::spawn(move || fabric::run(map).expect("the fabric runs"));
+        std::thread::spawn(move || target::run(&targets).expect("the targets run"));
+        let instances = (0..deployment.instances).map(|_| None).collect();
+        let mut site = Self {
+            _turn: turn,
+            deployment,
+            directory,
+            instances,
+        };
+        site.publish(1, deployment::Change::default());
+        for instance in 0..site.instances.len() {
+            site.start_instance(instance);
+        }
+        site.wait("all ready", |site| site.ready() == site.instances.len());
+        let callers = site.deployment.callers(7);
+        std::thread::spawn(move || caller::run(callers).expect("the callers run"));
+        site.wait("callers", |site| site.callers().started > 20);
+        site
+    }
+
+    /// Publishes a sheet.
+    pub fn publish(&self, revision: u64, change: deployment::Change) {
+        let directory = self.directory.join(format!("sheet-{revision}"));
+        std::fs::create_dir_all(&directory).expect("a directory for the test");
+        for (name, text) in self.deployment.sheet(change) {
+            std::fs::write(directory.join(name), text).expect("a file for the test");
+        }
+        let path = format!(
+            "/publish?directory={}&revision={revision}",
+            directory.to_string_lossy()
+        );
+        http::get(self.deployment.platform(), &path).expect("the platform answers");
+    }
+
+    /// Makes the platform fail in a way.
+    pub fn platform_fault(&self, query: &str) {
+        let path = format!("/fault?{query}");
+        http::get(self.deployment.platform(), &path).expect("the platform answers");
+    }
+
+    /// Starts an instance.
+    pub fn start_instance(&mut self, instance: usize) {
+        let settings = self.directory.join(format!("instance-{instance}.ini"));
+        std::fs::write(&settings, self.deployment.settings(instance)).expect("a settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_quetzald"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        self.instances[instance] = Some(child);
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, instance: usize, signal: Signal) {
+        if let Some(child) = &self.instances[instance] {
+            signal::kill(Pid::from_raw(child.id() as i32), signal).expect("the process is there");
+        }
+    }
+
+    /// Kills an instance.
+    pub fn kill(&mut self, instance: usize) {
+        if let Some(mut child) = self.instances[instance].take() {
+            child.kill().expect("the process is there");
+            child.wait().expect("the process ends");
+        }
+    }
+
+    /// Waits for an instance to end by itself; its exit status.
+    pub fn wait_exit(&mut self, instance: usize) -> Option<i32> {
+        let mut child = self.instances[instance].take()?;
+        let end = Instant::now() + TIMEOUT;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        child.kill().expect("the process is there");
+        None
+    }
+
+    /// Waits for a condition.
+    pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + TIMEOUT;
+        while !holds(self) {
+            assert!(Instant::now() < end, "no {what} in time");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// The status of an instance, if it answers.
+    pub fn status(&self, instance: usize) -> Option<status::Status> {
+        self.instances[instance].as_ref()?;
+        http::get_json(self.deployment.status(instance), "/status").ok()
+    }
+
+    /// Number of instances that serve and agree.
+    pub fn ready(&self) -> usize {
+        (0..self.instances.len())
+            .filter_map(|instance| self.status(instance))
+            .filter(|status| status.ready && status.settled)
+            .count()
+    }
+
+    /// What became of the flows so far.
+    pub fn callers(&self) -> caller::Report {
+        http::get_json(self.deployment.caller_admin(), "/").unwrap_or_default()
+    }
+
+    /// Ends the load and checks what must always hold; returns the number of broken flows.
+    pub fn finish(&self) -> u64 {
+        http::get(self.deployment.caller_admin(), "/stop").expect("the callers answer");
+        self.wait("end of the flows", |site| site.callers().open == 0);
+        let callers = self.callers();
+        let targets: std::collections::BTreeMap<String, target::Report> =
+            http::get_json(self.deployment.target_admin(), "/").expect("the targets answer");
+        let runs = |id: &u64| -> u32 {
+            targets
+                .values()
+                .filter_map(|report| report.ran.get(id))
+                .sum()
+        };
+        assert_eq!(callers.wrong_service, 0);
+        assert!(
+            callers.confirmed.iter().all(|id| runs(id) == 1),
+            "a post ran other than once"
+        );
+        assert!(
+            callers.refused_posts.iter().all(|id| runs(id) == 0),
+            "a refused post ran"
+        );
+        let twice = targets
+            .values()
+            .flat_map(|report| report.ran.keys())
+            .filter(|id| runs(id) > 1)
+            .count();
+        assert_eq!(twice, 0, "requests ran twice");
+        println!("broken flows: {:?}", callers.broken);
+        callers.broken.values().sum()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for instance in 0..self.instances.len() {
+            if let Some(child) = &mut self.instances[instance] {
+                // A frozen process takes SIGKILL as well.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -187,17 +187,20 @@
         }
     }
 
-    /// Drops all that waited while the thread was paused.
+    /// Drops all that waited while the thread was paused. A pause often ends the wait for packets
+    /// with an empty batch, so the socket is read until it has no more than one batch.
     fn drop_backlog(&mut self, receiver: &mut batch::Receiver) -> io::Result<()> {
-        while receiver.count() > 0 {
-            let counters = &self.parts.shard.counters;
-            counters.add(count::Counter::DropStale, receiver.count() as u64);
-            if receiver.count() < batch::BATCH {
-                receiver.clear();
-                return Ok(());
+        let mut dropped = receiver.count();
+        loop {
+            let received = receiver.receive(&self.parts.socket)?;
+            dropped += received;
+            if received < batch::BATCH {
+                break;
             }
-            receiver.receive(&self.parts.socket)?;
         }
+        receiver.clear();
+        let counters = &self.parts.shard.counters;
+        counters.add(count::Counter::DropStale, dropped as u64);
         Ok(())
     }
 
