--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -5,21 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::coordination::{bucket, health, ledger, membership, message, replica};
+use crate::coordination::{bucket, health, ledger, load, membership, message, replica, share};
 use crate::state::{fleet, key, random, time, view};
 
 /// Time between target reports where nothing else is asked.
 pub const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// First wait before a sheet is fetched again.
 pub(crate) const FETCH_BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
-/// Time between adjustments of the flexible share.
-const SHARE_INTERVAL: time::Duration = time::Duration::from_secs(5);
-/// New flows a second for each target above which a service's share shrinks.
-pub const HERDING_RATE: f64 = 11.0;
-/// The whole of a service's buckets, in per mille.
-const FULL_SHARE: u16 = 1_000;
-/// Smallest share that is kept for the budget's sake, in per mille.
-const MIN_SHARE: u16 = 5;
 
 /// What is fixed for the life of a process.
 #[derive(Clone, Debug)]
@@ -85,19 +77,6 @@
     Watch(bool),
 }
 
-/// One target's count by a shard.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Count {
-    /// Open flows, net of ends whose start another instance saw.
-    pub flows: i32,
-    /// Repeated first packets since the last report.
-    pub repeats: u16,
-    /// First packets of new flows since the last report.
-    pub starts: u16,
-    /// The target.
-    pub target: key::Target,
-}
-
 /// When a sheet may be fetched again.
 #[derive(Clone, Debug)]
 pub(crate) struct Fetch {
@@ -124,7 +103,7 @@
     pub(crate) announce_due: bool,
     pub(crate) applied_topology: u64,
     pub(crate) censuses: Vec<replica::Census>,
-    pub(crate) counts: Vec<HashMap<key::Target, Count>>,
+    pub(crate) counts: Vec<HashMap<key::Target, load::Count>>,
     pub(crate) deviating: HashMap<(key::Service, key::Bucket), u32>,
     pub(crate) fetch: Fetch,
     pub(crate) generation: u64,
@@ -205,7 +184,7 @@
             report_due: now,
             replica_bytes: 0,
             sample_due: now,
-            share_due: now + SHARE_INTERVAL,
+            share_due: now + share::INTERVAL,
             starts: HashMap::new(),
             ticked_at: now,
             topology: 1,
@@ -384,7 +363,7 @@
     }
 
     /// Takes the counts of a shard.
-    pub fn on_counts(&mut self, now: time::Instant, shard: usize, counts: &[Count]) {
+    pub fn on_counts(&mut self, now: time::Instant, shard: usize, counts: &[load::Count]) {
         for count in counts {
             let starts = health::Starts {
                 first: count.starts,
@@ -506,28 +485,6 @@
         self.lease.set_placement(placement);
     }
 
-    /// Lets each service's flexible share follow what its replicas cost.
-    fn adjust_shares(&mut self, now: time::Instant) {
-        if now < self.share_due {
-            return;
-        }
-        self.share_due = now + SHARE_INTERVAL;
-        let bytes = self.replica_bytes / SHARE_INTERVAL.as_secs();
-        self.replica_bytes = 0;
-        let seconds = SHARE_INTERVAL.as_secs_f64();
-        for (_, service) in self.ledger.services.iter_mut() {
-            let starts: u32 = service
-                .targets
-                .iter()
-                .filter_map(|target| self.starts.remove(target))
-                .sum();
-            let rate = f64::from(starts) / seconds / service.targets.len().max(1) as f64;
-            let useful = (self.config.herding_rate / rate).min(1.0) * f64::from(FULL_SHARE);
-            let allowed = service.item.flexible_share.min(useful as u16);
-            service.share = next_share(service.share, allowed, bytes, self.config.budget);
-        }
-    }
-
     fn judge_targets(&mut self, now: time::Instant) {
         let services: Vec<Vec<key::Target>> = self
             .ledger
@@ -702,16 +659,3 @@
         .and_then(|peer| peer.direct.get(&service))
         .is_some_and(|direct| direct.get(number))
 }
-
-/// The next flexible share: cut to what the budget allows when replicas cost more, and slowly back
-/// up to what the sheet allows when they cost clearly less, since each change tracks buckets.
-fn next_share(share: u16, allowed: u16, rate: u64, budget: u64) -> u16 {
-    let floor = MIN_SHARE.min(allowed);
-    if rate > budget {
-        ((u64::from(share).saturating_mul(budget) / rate) as u16).max(floor)
-    } else if rate < budget / 3 * 2 {
-        (share + share / 8 + 1).min(allowed)
-    } else {
-        share.min(allowed)
-    }
-}
--- /dev/null
+++ b/lib/src/coordination/load.rs
@@ -0,0 +1,135 @@
+//! What a shard counts on each target and service.
+//!
+//! Entries that the shard owns are exact. Flows of direct buckets leave no entry: their starts and
+//! ends are counted wherever they are seen, and only the sum over all instances is their number.
+
+use crate::coordination::health;
+use crate::state::{key, time};
+
+/// Time between fadings of the recent placements.
+pub const RECENT_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// What is kept of the recent placements; they count for about as long as reports are old.
+const RECENT_KEEP: f64 = 0.6;
+
+/// One target's count by a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Count {
+    /// Open flows, net of ends whose start another instance saw.
+    pub flows: i32,
+    /// Repeated first packets since the last report.
+    pub repeats: u16,
+    /// First packets of new flows since the last report.
+    pub starts: u16,
+    /// The target.
+    pub target: key::Target,
+}
+
+/// What a shard counts of a service's flows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outcomes {
+    /// Flows whose entries were lost.
+    pub lost: u32,
+    /// Flows that were refused.
+    pub refused: u32,
+    /// Flows that began.
+    pub started: u32,
+}
+
+/// What a shard counts on each target.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// Net of flow starts and ends seen in direct buckets.
+    direct: Vec<f64>,
+    /// Entries that this shard owns.
+    owned: Vec<u32>,
+    /// Flows that were lately placed away from their home for the sake of load.
+    recent: Vec<f64>,
+    /// First packets since the last report.
+    starts: Vec<health::Starts>,
+}
+
+/// The slot of a target in a vector that grows as needed.
+fn slot<T: Clone + Default>(values: &mut Vec<T>, target: key::Target) -> &mut T {
+    if values.len() <= target.index() {
+        values.resize(target.index() + 1, T::default());
+    }
+    &mut values[target.index()]
+}
+
+impl Load {
+    /// Open flows counted on a target.
+    pub fn open(&self, target: key::Target) -> i64 {
+        let direct = self.direct.get(target.index()).copied().unwrap_or(0.0);
+        i64::from(self.owned.get(target.index()).copied().unwrap_or(0)) + direct.round() as i64
+    }
+
+    /// Open flows counted here, and what the other owners have probably added since their last
+    /// report: they see the same reports and choose alike.
+    pub fn expected(&self, target: key::Target, other_owners: u32) -> i64 {
+        let recent = self.recent.get(target.index()).copied().unwrap_or(0.0);
+        self.open(target) + (recent * f64::from(other_owners)) as i64
+    }
+
+    /// Lets recent placements fade; called once in each `RECENT_INTERVAL`.
+    pub fn fade_recent(&mut self) {
+        for recent in &mut self.recent {
+            *recent *= RECENT_KEEP;
+        }
+    }
+
+    /// Counts an entry that this shard now owns.
+    pub fn add_owned(&mut self, target: key::Target) {
+        *slot(&mut self.owned, target) += 1;
+    }
+
+    /// Counts an entry that this shard no longer owns.
+    pub fn remove_owned(&mut self, target: key::Target) {
+        let owned = slot(&mut self.owned, target);
+        *owned = owned.saturating_sub(1);
+    }
+
+    /// Counts the start or, below zero, the end of a flow of a direct bucket.
+    pub fn add_direct(&mut self, target: key::Target, change: f64) {
+        *slot(&mut self.direct, target) += change;
+    }
+
+    /// Counts a flow that was placed away from its home for the sake of load.
+    pub fn add_recent(&mut self, target: key::Target) {
+        *slot(&mut self.recent, target) += 1.0;
+    }
+
+    /// Forgets part of the net of direct flows, so that flows whose end was not seen fade.
+    pub fn decay(&mut self, keep: f64) {
+        for direct in &mut self.direct {
+            *direct *= keep;
+        }
+    }
+
+    /// The counts of the first `targets` targets; first packets are counted anew from here.
+    pub fn take_counts(&mut self, targets: usize) -> Vec<Count> {
+        (0..targets)
+            .map(key::Target::from)
+            .map(|target| {
+                let starts = std::mem::take(slot(&mut self.starts, target));
+                Count {
+                    flows: self.open(target) as i32,
+                    repeats: starts.repeated,
+                    starts: starts.first,
+                    target,
+                }
+            })
+            .collect()
+    }
+
+    /// Counts a first packet of a new flow.
+    pub fn add_first(&mut self, target: key::Target) {
+        let starts = slot(&mut self.starts, target);
+        starts.first = starts.first.saturating_add(1);
+    }
+
+    /// Counts a first packet that was sent again.
+    pub fn add_repeated(&mut self, target: key::Target) {
+        let starts = slot(&mut self.starts, target);
+        starts.repeated = starts.repeated.saturating_add(1);
+    }
+}
--- a/lib/src/coordination/objective.rs
+++ b/lib/src/coordination/objective.rs
@@ -1,6 +1,6 @@
 //! Counting of good and bad events for the services' objectives.
 
-use crate::coordination::{burn, control, steering};
+use crate::coordination::{burn, control, load};
 use crate::state::{key, time};
 
 /// Time between samples of imbalance and of the sheet in force.
@@ -10,7 +10,7 @@
 
 impl control::Control {
     /// Takes what became of each service's flows, as one shard counts it.
-    pub fn on_outcomes(&mut self, now: time::Instant, outcomes: &[steering::Outcomes]) {
+    pub fn on_outcomes(&mut self, now: time::Instant, outcomes: &[load::Outcomes]) {
         for (index, outcome) in outcomes.iter().enumerate() {
             let Some(service) = self.ledger.services.get_mut(key::Service::from(index)) else {
                 continue;
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -8,13 +8,11 @@
 
 use std::collections::HashMap;
 
-use crate::coordination::{health, placement, replica};
+use crate::coordination::{hold, load, placement, replica};
 use crate::state::{arena, count, flow, key, packet, random, time, view};
 
 /// Relays that a packet may take before it is dropped.
 pub const MAX_HOPS: u8 = 2;
-/// Longest time that a packet is held.
-pub const MAX_HOLD: time::Duration = time::Duration::from_millis(1_800);
 /// Pause of a traffic thread after which what waited for it is too old to act on: its callers have
 /// sent again, and other instances have decided.
 pub const STALE_AFTER: time::Duration = time::Duration::from_millis(250);
@@ -24,10 +22,6 @@
 const CLOSING_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Time after which a flow whose caller has sent RST is over.
 const RESET_TIMEOUT: time::Duration = time::Duration::from_secs(5);
-/// Time between fadings of the recent placements.
-pub const RECENT_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// What is kept of the recent placements; they count for about as long as reports are old.
-const RECENT_KEEP: f64 = 0.6;
 /// Slots of the memory for repeated first packets, a power of two.
 const RECENT_SLOTS: usize = 4_096;
 /// Slots looked at for an entry that can be given up.
@@ -80,135 +74,32 @@
     Relay(key::Instance, u8),
 }
 
-/// Why a packet is held.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Wait {
-    /// For the replicas of its entry.
-    Copies(key::Entry),
-    /// For a newer view or lease.
-    View,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    deadline: time::Instant,
-    packet: Packet,
-    wait: Wait,
-}
-
 /// Steering state of one shard.
 #[derive(Debug)]
 pub struct Shard {
     /// Counters of the shard.
     pub counters: std::sync::Arc<count::Set>,
     pub(crate) limits: Limits,
-    pub(crate) load: Load,
+    pub(crate) load: load::Load,
     pub(crate) policy: placement::Policy,
     pub(crate) replicas: replica::Outbox,
     pub(crate) table: flow::Table,
-    held: arena::Arena<key::Held, Held>,
+    pub(crate) held: arena::Arena<key::Held, hold::Held>,
     lost: HashMap<flow::Key, flow::Tick>,
-    outcomes: Vec<Outcomes>,
+    outcomes: Vec<load::Outcomes>,
     random: random::Source,
     recent: Vec<u64>,
-    released: Vec<(key::Held, Verdict)>,
+    pub(crate) released: Vec<(key::Held, Verdict)>,
     victim_cursor: usize,
 }
 
-/// What a shard counts of a service's flows.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Outcomes {
-    /// Flows whose entries were lost.
-    pub lost: u32,
-    /// Flows that were refused.
-    pub refused: u32,
-    /// Flows that began.
-    pub started: u32,
-}
-
-/// What a shard counts on each target.
-#[derive(Clone, Debug, Default)]
-pub struct Load {
-    /// Net of flow starts and ends seen in direct buckets.
-    direct: Vec<f64>,
-    /// Entries that this shard owns.
-    owned: Vec<u32>,
-    /// Flows that were lately placed away from their home for the sake of load.
-    recent: Vec<f64>,
-    /// First packets since the last report.
-    starts: Vec<health::Starts>,
-}
-
-/// The slot of a target in a vector that grows as needed.
-fn slot<T: Clone + Default>(values: &mut Vec<T>, target: key::Target) -> &mut T {
-    if values.len() <= target.index() {
-        values.resize(target.index() + 1, T::default());
-    }
-    &mut values[target.index()]
-}
-
-impl Load {
-    /// Open flows counted on a target.
-    pub fn open(&self, target: key::Target) -> i64 {
-        let direct = self.direct.get(target.index()).copied().unwrap_or(0.0);
-        i64::from(self.owned.get(target.index()).copied().unwrap_or(0)) + direct.round() as i64
-    }
-
-    /// Open flows counted here, and what the other owners have probably added since their last
-    /// report: they see the same reports and choose alike.
-    fn expected(&self, target: key::Target, other_owners: u32) -> i64 {
-        let recent = self.recent.get(target.index()).copied().unwrap_or(0.0);
-        self.open(target) + (recent * f64::from(other_owners)) as i64
-    }
-
-    /// Lets recent placements fade; called once in each `RECENT_INTERVAL`.
-    pub fn fade_recent(&mut self) {
-        for recent in &mut self.recent {
-            *recent *= RECENT_KEEP;
-        }
-    }
-
-    /// Counts an entry that this shard now owns.
-    pub fn add_owned(&mut self, target: key::Target) {
-        *slot(&mut self.owned, target) += 1;
-    }
-
-    /// Counts an entry that this shard no longer owns.
-    pub fn remove_owned(&mut self, target: key::Target) {
-        let owned = slot(&mut self.owned, target);
-        *owned = owned.saturating_sub(1);
-    }
-
-    /// Forgets part of the net of direct flows, so that flows whose end was not seen fade.
-    pub fn decay(&mut self, keep: f64) {
-        for direct in &mut self.direct {
-            *direct *= keep;
-        }
-    }
-
-    /// Takes the first packets counted since the last call.
-    pub fn take_starts(&mut self, target: key::Target) -> health::Starts {
-        std::mem::take(slot(&mut self.starts, target))
-    }
-
-    fn add_first(&mut self, target: key::Target) {
-        let starts = slot(&mut self.starts, target);
-        starts.first = starts.first.saturating_add(1);
-    }
-
-    fn add_repeated(&mut self, target: key::Target) {
-        let starts = slot(&mut self.starts, target);
-        starts.repeated = starts.repeated.saturating_add(1);
-    }
-}
-
 impl Shard {
     /// A shard without flows.
     pub fn new(limits: Limits, policy: placement::Policy, random: random::Source) -> Self {
         Self {
             counters: std::sync::Arc::default(),
             limits,
-            load: Load::default(),
+            load: load::Load::default(),
             policy,
             replicas: replica::Outbox::default(),
             table: flow::Table::default(),
@@ -238,19 +129,19 @@
     }
 
     /// What this shard counts on each target.
-    pub fn load(&mut self) -> &mut Load {
+    pub fn load(&mut self) -> &mut load::Load {
         &mut self.load
     }
 
     /// Takes what was counted of each service's flows since the last call.
-    pub fn take_outcomes(&mut self) -> Vec<Outcomes> {
+    pub fn take_outcomes(&mut self) -> Vec<load::Outcomes> {
         std::mem::take(&mut self.outcomes)
     }
 
-    fn outcomes_of(&mut self, service: key::Service) -> &mut Outcomes {
+    fn outcomes_of(&mut self, service: key::Service) -> &mut load::Outcomes {
         if self.outcomes.len() <= service.index() {
             self.outcomes
-                .resize(service.index() + 1, Outcomes::default());
+                .resize(service.index() + 1, load::Outcomes::default());
         }
         &mut self.outcomes[service.index()]
     }
@@ -266,7 +157,7 @@
     }
 
     /// Decides on a packet; `is_fresh` tells whether it has just arrived and counts as evidence.
-    fn decide(
+    pub(crate) fn decide(
         &mut self,
         view: &view::View,
         now: time::Instant,
@@ -315,7 +206,7 @@
                 if *recent != packet.flow.low {
                     *recent = packet.flow.low;
                     self.load.add_first(home);
-                    *slot(&mut self.load.direct, home) += 1.0;
+                    self.load.add_direct(home, 1.0);
                     return true;
                 }
                 if is_fresh {
@@ -323,7 +214,7 @@
                 }
             }
             packet::Kind::Finish | packet::Kind::Reset => {
-                *slot(&mut self.load.direct, home) -= 1.0;
+                self.load.add_direct(home, -1.0);
             }
             packet::Kind::Datagram | packet::Kind::Middle => {}
         }
@@ -355,7 +246,7 @@
         if owner_alive {
             return Verdict::Drop(count::Counter::DropHopLimit);
         }
-        self.hold(now, packet, Wait::View)
+        self.hold(now, packet, hold::Wait::View)
     }
 
     /// A packet of a bucket that this instance owns.
@@ -375,7 +266,7 @@
             return self.forward_entry(view, now, packet, key, bucket);
         }
         if now >= view.lease.placement() {
-            return self.hold(now, packet, Wait::View);
+            return self.hold(now, packet, hold::Wait::View);
         }
         let is_new = match packet.header.kind {
             packet::Kind::First => true,
@@ -425,7 +316,7 @@
                 self.load.add_first(target);
                 self.outcomes_of(service_key).started += 1;
                 if target != bucket.home {
-                    *slot(&mut self.load.recent, target) += 1.0;
+                    self.load.add_recent(target);
                 }
                 if deviates {
                     self.counters.increment(count::Counter::EntryDeviating);
@@ -489,7 +380,7 @@
             if self.note_lost(now, packet.flow) {
                 self.outcomes_of(service).lost += 1;
             }
-            return self.hold(now, packet, Wait::View);
+            return self.hold(now, packet, hold::Wait::View);
         }
         if self.lost.contains_key(&packet.flow) {
             self.note_lost(now, packet.flow);
@@ -537,7 +428,7 @@
             || entry.target == bucket.fallback
             || replica::has_copies(bucket, entry);
         if !ready {
-            return self.hold(now, packet, Wait::Copies(key));
+            return self.hold(now, packet, hold::Wait::Copies(key));
         }
         entry.confirmed = true;
         entry.proven = true;
@@ -642,75 +533,6 @@
         }
     }
 
-    fn hold(&mut self, now: time::Instant, packet: Packet, wait: Wait) -> Verdict {
-        if self.held.len() >= self.limits.held {
-            return Verdict::Drop(count::Counter::DropHoldFull);
-        }
-        Verdict::Hold(self.held.insert(Held {
-            deadline: now + MAX_HOLD,
-            packet,
-            wait,
-        }))
-    }
-
-    /// Decides again on the held packets: all that wait for a view, and those of `ready` entries.
-    pub(crate) fn retry_held(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        ready: &[key::Entry],
-    ) {
-        if self.held.is_empty() {
-            return;
-        }
-        let due: Vec<(key::Held, Held)> = self
-            .held
-            .iter()
-            .filter(|(_, held)| match held.wait {
-                Wait::Copies(entry) => held.deadline <= now || ready.contains(&entry),
-                Wait::View => true,
-            })
-            .map(|(key, held)| (key, *held))
-            .collect();
-        for (key, held) in due {
-            self.retry_one(view, now, key, held);
-        }
-    }
-
-    fn retry_one(&mut self, view: &view::View, now: time::Instant, key: key::Held, held: Held) {
-        if held.deadline <= now {
-            self.held.remove(key);
-            if let Wait::Copies(entry) = held.wait
-                && self.table.get(entry).is_some_and(|entry| !entry.confirmed)
-            {
-                self.remove(entry);
-            }
-            self.released
-                .push((key, Verdict::Drop(count::Counter::DropHeldTooLong)));
-            return;
-        }
-        match self.decide(view, now, held.packet, false) {
-            Verdict::Hold(again) => {
-                // The packet keeps its first key and deadline.
-                let renewed = self.held.remove(again);
-                if let (Some(renewed), Some(slot)) = (renewed, self.held.get_mut(key)) {
-                    slot.wait = renewed.wait;
-                }
-            }
-            // A full hold is no verdict on a packet that is already held.
-            Verdict::Drop(count::Counter::DropHoldFull) => {}
-            verdict => {
-                self.held.remove(key);
-                // While the packet was held its caller may have sent again to another instance.
-                let verdict = match verdict {
-                    Verdict::Refuse => Verdict::Drop(count::Counter::DropNoTarget),
-                    verdict => verdict,
-                };
-                self.released.push((key, verdict));
-            }
-        }
-    }
-
     /// Time without a packet after which an entry's flow is over.
     pub(crate) fn timeout(entry: &flow::Entry, idle: time::Duration) -> time::Duration {
         match entry.phase {
--- a/lib/src/protocol/sheet.rs
+++ b/lib/src/protocol/sheet.rs
@@ -120,22 +120,32 @@
     DEFAULT_SLOTS
 }
 
-/// The line of a byte offset, from 1.
-fn line_of(text: &str, offset: usize) -> usize {
-    text.as_bytes()
-        .iter()
-        .take(offset)
-        .filter(|byte| **byte == b'\n')
-        .count()
-        + 1
+/// Where the lines of a text begin.
+struct Lines(Vec<usize>);
+
+impl Lines {
+    fn new(text: &str) -> Self {
+        let breaks = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        Self(
+            std::iter::once(0)
+                .chain(breaks.map(|(offset, _)| offset + 1))
+                .collect(),
+        )
+    }
+
+    /// The line of a byte offset, from 1.
+    fn at(&self, offset: usize) -> usize {
+        self.0.partition_point(|start| *start <= offset)
+    }
 }
 
 /// Reads one document into a draft.
 fn read(document: &message::Document, draft: &mut sheet::Draft) -> Result<(), sheet::Fault> {
     let text = &document.text;
+    let lines = Lines::new(text);
     let place = |offset: usize| sheet::Place {
         document: document.name.clone(),
-        line: line_of(text, offset),
+        line: lines.at(offset),
     };
     if text.len() > sheet::MAX_DOCUMENT_BYTES {
         return Err(sheet::Fault {
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
-use crate::coordination::{burn, control, health, membership, placement, steering};
+use crate::coordination::{burn, control, health, membership, placement, share, steering};
 use crate::protocol::{fault, settings, status, wire};
 use crate::state::{code, count, key, random, time, view};
 use crate::transport::{
@@ -163,7 +163,7 @@
     control::Config {
         budget: settings.limits.control_budget,
         health: health::Config::default(),
-        herding_rate: control::HERDING_RATE,
+        herding_rate: share::HERDING_RATE,
         incarnation: clock::unix_seconds(),
         membership: membership::Config::default(),
         peers: settings.peers.clone(),
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -12,7 +12,7 @@
 use crossbeam_channel::{Receiver, Sender};
 use hdrhistogram::Histogram;
 
-use crate::coordination::{control, hash, message, replica, steering};
+use crate::coordination::{hash, load, message, replica, steering};
 use crate::protocol::{ip, wire};
 use crate::state::{count, key, packet, time, view};
 use crate::transport::{batch, clock, timer};
@@ -36,9 +36,9 @@
     /// What a pass over the entries found.
     Census(replica::Census),
     /// Open flows by target, and the number of flow entries.
-    Counts(Vec<control::Count>, u64),
+    Counts(Vec<load::Count>, u64),
     /// What became of each service's flows since the last event.
-    Outcomes(Vec<steering::Outcomes>),
+    Outcomes(Vec<load::Outcomes>),
     /// Times measured since the last event, in microseconds.
     Times(&'static str, Histogram<u64>),
 }
@@ -141,7 +141,7 @@
     let mut timers = timer::Service::<Worker>::default();
     let now = clock.now();
     timers.subscribe(now, TICK, Worker::tick);
-    timers.subscribe(now, steering::RECENT_INTERVAL, |worker, _| {
+    timers.subscribe(now, load::RECENT_INTERVAL, |worker, _| {
         worker.parts.shard.load().fade_recent();
     });
     timers.subscribe(now, COUNT_INTERVAL, |worker, _| worker.report_counts());
@@ -405,19 +405,7 @@
     }
 
     fn report_counts(&mut self) {
-        let load = self.parts.shard.load();
-        let counts = (0..self.view.targets.len())
-            .map(key::Target::from)
-            .map(|target| {
-                let starts = load.take_starts(target);
-                control::Count {
-                    flows: load.open(target) as i32,
-                    repeats: starts.repeated,
-                    starts: starts.first,
-                    target,
-                }
-            })
-            .collect();
+        let counts = self.parts.shard.load().take_counts(self.view.targets.len());
         let entries = self.parts.shard.entry_count() as u64;
         tell(&self.parts, Event::Counts(counts, entries));
         for (name, times) in [
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzal_lib::coordination::{control, health, membership, message, placement, steering};
+use quetzal_lib::coordination::{control, health, membership, message, placement, share, steering};
 use quetzal_lib::protocol::wire;
 use quetzal_lib::state::{count, fleet, key, packet, random, time, view};
 
@@ -127,7 +127,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             budget: u64::MAX,
-            herding_rate: control::HERDING_RATE,
+            herding_rate: share::HERDING_RATE,
             limits: steering::Limits::default(),
             nodes: 5,
             policy: placement::Policy::default(),
@@ -409,18 +409,7 @@
         let targets = this.view.targets.len();
         let load = this.shard.load();
         load.fade_recent();
-        let counts: Vec<control::Count> = (0..targets)
-            .map(key::Target::from)
-            .map(|target| {
-                let starts = load.take_starts(target);
-                control::Count {
-                    flows: load.open(target) as i32,
-                    repeats: starts.repeated,
-                    starts: starts.first,
-                    target,
-                }
-            })
-            .collect();
+        let counts = load.take_counts(targets);
         this.control.on_counts(now, 0, &counts);
         self.push(node, now + COUNT_INTERVAL, Action::Counts);
     }
