coordination: a restarted instance gets the history whoever is heard first

Cause, found by the outage test under processor load (seen failing twice): to a dead peer an owner sent its details without history, as to one that takes part. A restarted instance that heard them before it was heard acknowledged them and waited for a history that never came. Change: a peer that is not alive gets the history too.

--- a/daemon/tests/site.rs
+++ b/daemon/tests/site.rs
@@ -83,12 +83,17 @@
     pub fn start_instance(&mut self, instance: usize) {
         let settings = self.directory.join(format!("instance-{instance}.ini"));
         std::fs::write(&settings, self.deployment.settings(instance)).expect("a settings file");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.directory.join(format!("instance-{instance}.log")))
+            .expect("a log file");
         let child = Command::new(env!("CARGO_BIN_EXE_quetzald"))
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .expect("the daemon starts");
         self.instances[instance] = Some(child);
@@ -127,11 +132,28 @@
     pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
         let end = Instant::now() + TIMEOUT;
         while !holds(self) {
-            assert!(Instant::now() < end, "no {what} in time");
+            assert!(
+                Instant::now() < end,
+                "no {what} in time: {}",
+                self.describe()
+            );
             std::thread::sleep(Duration::from_millis(50));
         }
     }
 
+    /// What each instance says of itself and its peers, for tests that fail.
+    fn describe(&self) -> String {
+        (0..self.instances.len())
+            .map(|instance| match self.status(instance) {
+                Some(status) => format!(
+                    "\ninstance {instance}: {:?}, settled {}, revision {}, entries {}, peers {:?}",
+                    status.phase, status.settled, status.revision, status.entries, status.peers
+                ),
+                None => format!("\ninstance {instance}: no answer"),
+            })
+            .collect()
+    }
+
     /// The status of an instance, if it answers.
     pub fn status(&self, instance: usize) -> Option<status::Status> {
         self.instances[instance].as_ref()?;
--- a/lib/src/coordination/history.rs
+++ b/lib/src/coordination/history.rs
@@ -12,8 +12,10 @@
 impl control::Control {
     /// The history for a peer that joins; none for one that already takes part.
     pub(crate) fn history_for(&self, peer: key::Instance) -> Option<message::History> {
-        let known = self.membership.peers.get(&peer).and_then(|peer| peer.phase);
-        let joins = matches!(known, None | Some(message::Phase::Joining));
+        // A dead peer's next process may hear this before it is heard itself.
+        let known = self.membership.peers.get(&peer).filter(|peer| peer.alive);
+        let phase = known.and_then(|peer| peer.phase);
+        let joins = matches!(phase, None | Some(message::Phase::Joining));
         joins.then(|| message::History {
             incomplete: self.incomplete(),
             retired: self.retired(),
--- a/lib/tests/unplanned.rs
+++ b/lib/tests/unplanned.rs
@@ -335,3 +335,17 @@
     let unanswered = fleet.count_flows(|state| matches!(state, caller::State::GivenUp));
     assert_eq!(unanswered, 0);
 }
+
+/// The new process may hear its peers before they hear it.
+#[test]
+fn a_restarted_instance_serves_again_whoever_is_heard_first() {
+    let services = scenario::services(1_000);
+    for seed in 0..12 {
+        let mut fleet = scenario::started(fleet::Options::new(seed), &services);
+        fleet.kill(0);
+        fleet.run(Duration::from_millis(2_000 + seed * 37));
+        fleet.restart_heard_last(0);
+        fleet.run(Duration::from_secs(6));
+        assert!(fleet.nodes[0].control.is_ready(), "seed {seed}");
+    }
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -306,6 +306,15 @@
         self.schedule_life(node);
     }
 
+    /// Starts a killed node anew, whose own ticks begin only after its peers' next heartbeats.
+    pub fn restart_heard_last(&mut self, node: usize) {
+        let life = self.nodes[node].life + 1;
+        self.nodes[node] = make_node(&self.options, node, life, self.now);
+        let interval = membership::Config::default().heartbeat;
+        self.run(interval + interval / 2);
+        self.schedule_life(node);
+    }
+
     /// Pauses a node: what happens to it waits until then.
     pub fn pause(&mut self, node: usize, length: Duration) {
         self.nodes[node].paused_until = self.now + length;
