cli: test pages at addresses of their own

Cause: the ports 38411 and 38412 lie among those that outgoing connections are given, so a full run failed once when one was taken. Change: a loopback address of its own for each page.

--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -109,9 +109,10 @@
     }
 }
 
-/// Serves a fixed instance on a port of its own.
-fn serve(instance: u16, port: u16) -> SocketAddr {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
+/// Serves a fixed instance at an address of its own, away from the ports that outgoing connections
+/// are given.
+fn serve(instance: u16) -> SocketAddr {
+    let address = SocketAddr::from(([127, 45, 0, instance as u8 + 1], 8_000));
     page::serve(
         address,
         Arc::new(move |request| match request.path.as_str() {
@@ -127,7 +128,7 @@
 
 #[test]
 fn commands_show_what_instances_answer() {
-    let list = format!("{},{}", serve(0, 38_411), serve(1, 38_412));
+    let list = format!("{},{}", serve(0), serve(1));
     for command in ["status", "services", "targets", "instances"] {
         let text = commands::run(&[command, "--instances", &list]);
         insta::assert_snapshot!(format!("show_{command}"), text);
@@ -138,7 +139,7 @@
         "10.9.0.1:4000",
         "10.41.0.1:80",
         "--instances",
-        "127.0.0.1:38411",
+        "127.45.0.1:8000",
     ]);
     insta::assert_snapshot!("show_flows", text);
     let with_silent = format!("{list},127.0.0.1:9");
