tests: say which of the found cases was found

The second case of found_cases_stay_mended was written after a trace and was not seen failing; its comment said that it had been found. Comment only.

--- a/lib/tests/unplanned.rs
+++ b/lib/tests/unplanned.rs
@@ -240,8 +240,9 @@
     Ok(())
 }
 
-/// Found with other seeds: a deputy kept a placement that the owner had withdrawn, and a joiner
-/// became owner of buckets whose entries had been lost before it joined.
+/// The first case was found with another seed: a deputy kept a placement that the owner had
+/// withdrawn. The second is modelled on the trace of a joiner that became owner of buckets whose
+/// entries had been lost; it is not the case that was found and was not seen failing.
 #[test]
 fn found_cases_stay_mended() {
     let cases = [
