state, coordination: core types and decisions for flows that carry a cookie

Cause: the users' platform echoes a value through each flow, so a flow can name its own target and needs no owner, deputy or replica. Targets register themselves, apart from the sheet. Ruled out: reusing buckets without tracking; their owners and numbered peers would still be needed.

--- /dev/null
+++ b/lib/src/coordination/cookie/beat.rs
@@ -0,0 +1,43 @@
+//! The heartbeat between instances that forward by cookie.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// Open flows that an instance counts on a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Cookie of the target.
+    pub cookie: u32,
+    /// Open flows.
+    pub flows: u16,
+}
+
+/// What an instance tells another.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Age of the sender's facts in milliseconds; none if it has none.
+    pub age_ms: Option<u32>,
+    /// Revision of the sender's facts.
+    pub as_of: u64,
+    /// Time since the publisher last answered the sender itself, in milliseconds; none if it is not
+    /// watching.
+    pub contact_ms: Option<u32>,
+    /// Number of the sender's process, drawn at random.
+    pub incarnation: u64,
+    /// Whether the sender is about to stop.
+    pub leaving: bool,
+    /// Open flows.
+    pub loads: Vec<Load>,
+    /// Name of the sender.
+    pub name: CompactString,
+    /// Some of the instances that the sender hears.
+    pub peers: Vec<SocketAddr>,
+    /// Order of the heartbeats of one process.
+    pub sequence: u64,
+    /// Version of the configuration in force at the sender.
+    pub version: u64,
+    /// Zone of the sender.
+    pub zone: CompactString,
+}
--- /dev/null
+++ b/lib/src/coordination/cookie/catalog.rs
@@ -0,0 +1,303 @@
+//! What this instance believes of the configuration and of the registered targets.
+//!
+//! Facts come from the publisher or from another instance in the same form and merge by revision,
+//! so that nothing that was accepted goes back. A registration that vanishes while the publisher
+//! was out of reach may only have lapsed: its target keeps taking flows for a short grace, in which
+//! a living target registers again. A removed target is remembered for as long as its flows may
+//! live, since a target that lost its registration may still serve them.
+
+use std::collections::HashMap;
+
+use crate::coordination::hash;
+use crate::state::{arena, catalog, key, snapshot, time};
+
+/// Gap between confirmations that counts as an outage of the publisher; above the longest time
+/// between two answers of a watch that are handed on by another instance.
+const OUTAGE_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Time in which a living target registers again after an outage; the platform's pages promise
+/// about two seconds.
+const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
+/// Time for which a removed target is remembered; above the longest life of a flow, 60 s.
+const RETENTION: time::Duration = time::Duration::from_secs(75);
+
+/// One known target.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// End of the time for which it is slow after its start.
+    pub cold_until: time::Instant,
+    /// Cookie of its flows.
+    pub cookie: snapshot::Cookie,
+    /// Last details that could be read.
+    pub details: catalog::Target,
+    /// Identity.
+    pub id: key::Name,
+    /// When its registration vanished, none while it is there.
+    pub missing_since: Option<time::Instant>,
+    /// What is registered now.
+    pub presence: Standing,
+    /// Revision of the last change.
+    pub revision: u64,
+}
+
+/// What became of a registration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It is there.
+    Present,
+    /// It vanished during an outage and may come back.
+    Lapsed,
+    /// It is gone.
+    Removed,
+    /// It cannot be understood.
+    Unreadable,
+}
+
+/// A change of a belief, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Another version of the configuration is in force.
+    Config(u64),
+    /// The publisher is confirmed again after an outage of this length.
+    Confirmed(time::Duration),
+    /// The standing or duty of a target changed.
+    Target(key::Target),
+}
+
+/// Beliefs about published facts.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// Revision up to which all changes are known.
+    pub as_of: u64,
+    /// The configuration in force.
+    pub config: Option<catalog::Config>,
+    /// When the facts were last known to be current.
+    pub confirmed: Option<time::Instant>,
+    /// Targets.
+    pub targets: arena::Arena<key::Target, Record>,
+    /// Below this revision removals are not known.
+    floor: u64,
+    grace_until: time::Instant,
+    keys: HashMap<key::Name, key::Target>,
+}
+
+/// The cookie of a target, equal on every instance.
+pub fn cookie(id: key::Name) -> snapshot::Cookie {
+    let mixed = hash::score(id.0, 0);
+    let folded = (mixed >> 32) as u32 ^ mixed as u32;
+    // Zero stands for no target.
+    snapshot::Cookie(folded.max(1))
+}
+
+impl Catalog {
+    /// Age of the facts; none if there never were any.
+    pub fn age(&self, now: time::Instant) -> Option<time::Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Version of the configuration in force, zero without one.
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Whether new flows may be placed by these facts.
+    pub fn is_complete(&self) -> bool {
+        self.config.is_some() && self.as_of > 0
+    }
+
+    /// Whether no outage ended a short time ago, so that a missing registration means something.
+    pub fn is_steady(&self, now: time::Instant) -> bool {
+        now >= self.grace_until + LAPSE_GRACE
+    }
+
+    /// The key of a target.
+    pub fn find(&self, id: key::Name) -> Option<key::Target> {
+        self.keys.get(&id).copied()
+    }
+
+    /// Notes that the facts up to a revision were current at an instant.
+    pub fn confirm(
+        &mut self,
+        now: time::Instant,
+        as_of: u64,
+        current_at: time::Instant,
+    ) -> Option<Change> {
+        if as_of > self.as_of || self.confirmed.is_some_and(|before| before >= current_at) {
+            return None;
+        }
+        let gap = self.confirmed.map(|before| current_at.since(before));
+        self.confirmed = Some(current_at);
+        let gap = gap.filter(|gap| *gap >= OUTAGE_AFTER)?;
+        self.grace_until = now + LAPSE_GRACE;
+        Some(Change::Confirmed(gap))
+    }
+
+    /// Takes facts that were current at an instant; returns what they changed.
+    pub fn apply(
+        &mut self,
+        now: time::Instant,
+        delta: &catalog::Delta,
+        current_at: time::Instant,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if let Some(config) = &delta.config
+            && config.version > self.version()
+        {
+            changes.push(Change::Config(config.version));
+            self.config = Some(config.clone());
+        }
+        let connects = delta.whole || delta.since <= self.as_of;
+        if connects && delta.as_of >= self.as_of {
+            // The grace must begin before removals are judged by it.
+            self.as_of = delta.as_of;
+            changes.extend(self.confirm(now, delta.as_of, current_at));
+            if delta.whole {
+                self.remove_unnamed(now, delta, &mut changes);
+                self.floor = delta.as_of;
+            }
+        }
+        for entry in &delta.entries {
+            changes.extend(self.take(now, entry).map(Change::Target));
+        }
+        changes
+    }
+
+    /// Notes the passing of time; returns what it changed.
+    pub fn tick(&mut self, now: time::Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let mut forgotten = Vec::new();
+        for (key, record) in self.targets.iter_mut() {
+            if record.presence == Standing::Lapsed && now >= self.grace_until {
+                record.presence = Standing::Removed;
+                changes.push(Change::Target(key));
+            }
+            let missing = record.missing_since;
+            if missing.is_some_and(|since| now.since(since) >= RETENTION) {
+                forgotten.push((key, record.id, record.revision));
+            }
+        }
+        for (key, id, revision) in forgotten {
+            self.targets.remove(key);
+            self.keys.remove(&id);
+            self.floor = self.floor.max(revision);
+        }
+        changes
+    }
+
+    /// Everything that changed after a revision, for another instance.
+    pub fn since(&self, since: u64) -> catalog::Delta {
+        let whole = since < self.floor || since == 0;
+        let entries = self
+            .targets
+            .iter()
+            .filter(|(_, record)| whole || record.revision > since)
+            .map(|(_, record)| catalog::Entry {
+                id: record.id,
+                presence: match record.presence {
+                    Standing::Present => catalog::Presence::Present(record.details.clone()),
+                    Standing::Lapsed | Standing::Removed => catalog::Presence::Removed,
+                    Standing::Unreadable => catalog::Presence::Unreadable,
+                },
+                revision: record.revision,
+            })
+            .collect();
+        catalog::Delta {
+            as_of: self.as_of,
+            config: self.config.clone(),
+            entries,
+            since: if whole { 0 } else { since },
+            whole,
+        }
+    }
+
+    fn remove_unnamed(
+        &mut self,
+        now: time::Instant,
+        delta: &catalog::Delta,
+        changes: &mut Vec<Change>,
+    ) {
+        let named: std::collections::HashSet<key::Name> =
+            delta.entries.iter().map(|entry| entry.id).collect();
+        let vanished: Vec<catalog::Entry> = self
+            .targets
+            .iter()
+            .filter(|(_, record)| record.revision <= delta.as_of && !named.contains(&record.id))
+            .filter(|(_, record)| record.missing_since.is_none())
+            .map(|(_, record)| catalog::Entry {
+                id: record.id,
+                presence: catalog::Presence::Removed,
+                revision: delta.as_of,
+            })
+            .collect();
+        for entry in &vanished {
+            changes.extend(self.take(now, entry).map(Change::Target));
+        }
+    }
+
+    /// Takes one registration; returns the target if its standing or duty changed.
+    fn take(&mut self, now: time::Instant, entry: &catalog::Entry) -> Option<key::Target> {
+        match self.find(entry.id) {
+            Some(key) => self.update(now, key, entry),
+            None => self.add(now, entry),
+        }
+    }
+
+    fn add(&mut self, now: time::Instant, entry: &catalog::Entry) -> Option<key::Target> {
+        // What never named a target is not worth remembering.
+        let catalog::Presence::Present(details) = &entry.presence else {
+            return None;
+        };
+        let key = self.targets.insert(Record {
+            cold_until: cold_until(now, details),
+            cookie: cookie(entry.id),
+            details: details.clone(),
+            id: entry.id,
+            missing_since: None,
+            presence: Standing::Present,
+            revision: entry.revision,
+        });
+        self.keys.insert(entry.id, key);
+        Some(key)
+    }
+
+    fn update(
+        &mut self,
+        now: time::Instant,
+        key: key::Target,
+        entry: &catalog::Entry,
+    ) -> Option<key::Target> {
+        let in_grace = now < self.grace_until;
+        let record = self.targets.get_mut(key)?;
+        if entry.revision <= record.revision {
+            return None;
+        }
+        record.revision = entry.revision;
+        let before = (record.presence, record.details.duty, record.details.born);
+        match &entry.presence {
+            catalog::Presence::Present(details) => {
+                record.cold_until = cold_until(now, details);
+                record.details = details.clone();
+                record.missing_since = None;
+                record.presence = Standing::Present;
+            }
+            catalog::Presence::Removed => {
+                record.missing_since = record.missing_since.or(Some(now));
+                let leaving = record.details.duty == catalog::Duty::Draining;
+                record.presence = if in_grace && !leaving && record.presence == Standing::Present {
+                    Standing::Lapsed
+                } else {
+                    Standing::Removed
+                };
+            }
+            catalog::Presence::Unreadable => {
+                record.missing_since = record.missing_since.or(Some(now));
+                record.presence = Standing::Unreadable;
+            }
+        }
+        let after = (record.presence, record.details.duty, record.details.born);
+        (before != after).then_some(key)
+    }
+}
+
+fn cold_until(now: time::Instant, details: &catalog::Target) -> time::Instant {
+    now + time::Duration::from_millis(u64::from(details.cold_ms))
+}
--- /dev/null
+++ b/lib/src/coordination/cookie/forward.rs
@@ -0,0 +1,453 @@
+//! Where each packet of a flow with a cookie goes.
+//!
+//! A first packet is placed; every later packet goes to the target that its cookie names, if the
+//! route ever led to that target's service. A copy of a first packet goes to another target than
+//! the one before, since a flow opens only at the target whose answer the caller takes.
+//!
+//! A flow is reset only where its target cannot have it any more or cannot be reached: the target
+//! has ended and this flow shows it, or the target's whole zone is cut off. A route whose requests
+//! run at most once is reset only in the first case, since its callers do not try again.
+
+use std::sync::Arc;
+
+use crate::coordination::cookie::{evidence, place, tally};
+use crate::coordination::hash;
+use crate::state::{catalog, count, flow, key, packet, segment, snapshot, time};
+
+/// Decisions kept for the log between two reports.
+const MAX_DECISIONS: usize = 24;
+/// Gap between two packets or ticks after which this instance counts as paused: what it then finds
+/// says nothing about targets.
+const PAUSE: time::Duration = time::Duration::from_millis(400);
+
+/// What to do with a packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Drop it for a reason.
+    Drop(count::Counter),
+    /// Send it to a target.
+    Forward(key::Target),
+    /// Reset the flow.
+    Reset,
+}
+
+/// Why a decision was made, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// A new flow was placed.
+    Placed,
+    /// The target before did not answer the first packet.
+    Unanswered,
+    /// No target can take the flow.
+    NoTarget,
+    /// There is no route at the address.
+    NoRoute,
+    /// The target has ended.
+    Ended,
+    /// The zone of the target is cut off.
+    ZoneCut,
+}
+
+impl Cause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::Unanswered => "target did not answer",
+            Self::NoTarget => "no target",
+            Self::NoRoute => "no route",
+            Self::Ended => "target ended",
+            Self::ZoneCut => "zone cut off",
+        }
+    }
+}
+
+/// A decision that touches a flow, with the inputs that it was made by.
+#[derive(Clone, Debug)]
+pub struct Decision {
+    /// Age of the facts when they were published.
+    pub age: time::Duration,
+    /// Revision of the facts.
+    pub as_of: u64,
+    /// When it was made.
+    pub at: time::Instant,
+    /// Why.
+    pub cause: Cause,
+    /// The flow's identifier, equal on every instance.
+    pub flow: flow::Key,
+    /// Open flows known on the target.
+    pub load: u32,
+    /// The packet.
+    pub segment: segment::Segment,
+    /// The target, none if the flow was refused.
+    pub target: Option<key::Target>,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+/// What a traffic thread tells the control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Targets that are avoided.
+    pub avoided: Vec<key::Target>,
+    /// Decisions since the last report.
+    pub decisions: Vec<Decision>,
+    /// Flows seen lately.
+    pub flows: usize,
+    /// Open flows by target.
+    pub loads: Vec<(key::Target, u32)>,
+    /// Decisions that were left out of the report.
+    pub omitted: u64,
+    /// Zones that are suspect, by zone.
+    pub suspects: Vec<bool>,
+}
+
+/// The decisions of one traffic thread.
+#[derive(Debug, Default)]
+pub struct Shard {
+    /// Counters.
+    pub counters: Arc<count::Set>,
+    decisions: Vec<Decision>,
+    evidence: Vec<evidence::Evidence>,
+    omitted: u64,
+    paused_until: time::Instant,
+    secret: hash::Secret,
+    suspects: Vec<bool>,
+    tally: tally::Tally,
+    ticked: time::Instant,
+}
+
+impl Shard {
+    /// A shard that identifies flows by a hash with a secret.
+    pub fn new(secret: hash::Secret) -> Self {
+        Self {
+            secret,
+            ..Self::default()
+        }
+    }
+
+    /// Decides what to do with a packet.
+    pub fn steer(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        now: time::Instant,
+        segment: &segment::Segment,
+    ) -> Verdict {
+        self.counters.increment(count::Counter::Received);
+        let flow = hash::flow_key(self.secret, &segment.tuple());
+        let Some(route) = snapshot.routes.get(&segment.route) else {
+            return self.miss(snapshot, now, flow, segment);
+        };
+        if segment.kind == packet::Kind::First {
+            self.open(snapshot, route, now, flow, segment)
+        } else {
+            self.follow(snapshot, route, now, flow, segment)
+        }
+    }
+
+    /// A packet to an address without a route.
+    fn miss(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        now: time::Instant,
+        flow: flow::Key,
+        segment: &segment::Segment,
+    ) -> Verdict {
+        // Old facts may lack the route, and a later copy may find it.
+        let certain = snapshot.fresh && segment.kind == packet::Kind::First;
+        if !certain {
+            return Verdict::Drop(count::Counter::DropUnknownAddress);
+        }
+        self.note(snapshot, now, flow, segment, Cause::NoRoute, None);
+        Verdict::Reset
+    }
+
+    fn open(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        route: &snapshot::Route,
+        now: time::Instant,
+        flow: flow::Key,
+        segment: &segment::Segment,
+    ) -> Verdict {
+        let before = self.tally.get(flow).copied();
+        let mut tried = [None; 2];
+        let mut cause = Cause::Placed;
+        if let Some(before) = before {
+            if before.open || segment.copies <= before.copies {
+                return self.forward(before.target);
+            }
+            self.mark_stall(now, before.target);
+            tried = [Some(before.target), before.tried[0]];
+            cause = Cause::Unanswered;
+        }
+        let Some(target) = self.place(snapshot, route, now, flow, tried) else {
+            self.note(snapshot, now, flow, segment, Cause::NoTarget, None);
+            return Verdict::Reset;
+        };
+        self.note(snapshot, now, flow, segment, cause, Some(target));
+        self.counters.increment(count::Counter::EntryCreated);
+        self.tally.put(
+            flow,
+            tally::Flow {
+                acknowledged: 0,
+                copies: segment.copies,
+                open: false,
+                seen: now,
+                sent: segment.sequence.wrapping_add(1),
+                stalls: 0,
+                target,
+                tried,
+            },
+        );
+        self.forward(target)
+    }
+
+    /// Chooses a target for a new flow, the best of the first group that has one: targets without
+    /// doubt, then those whose zone is not suspect, then all that were not tried.
+    fn place(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        route: &snapshot::Route,
+        now: time::Instant,
+        flow: flow::Key,
+        tried: [Option<key::Target>; 2],
+    ) -> Option<key::Target> {
+        let first = place::branch(&route.branches, flow.high)?;
+        let others = route.branches.iter().filter(|branch| branch.weight > 0);
+        let services = std::iter::once(first).chain(
+            others
+                .map(|branch| branch.service)
+                .filter(|service| *service != first),
+        );
+        let untried = |key: key::Target| !tried.contains(&Some(key));
+        let reachable = |key: key::Target| {
+            let zone = snapshot.target(key).map(|target| target.zone);
+            zone.is_some_and(|zone| !self.is_suspect(zone) || snapshot.zone == Some(zone))
+        };
+        let sound = |key: key::Target| !self.evidence(key).is_avoided(now);
+        for service in services {
+            let Some(candidates) = snapshot.services.get(service.index()) else {
+                continue;
+            };
+            let choose = |allowed: &dyn Fn(key::Target) -> bool| {
+                let question = place::Question {
+                    allowed,
+                    flow: flow.low,
+                    load: |key| self.load(snapshot, key),
+                    now,
+                    snapshot,
+                };
+                place::choose(&question, candidates)
+            };
+            let chosen = choose(&|key| untried(key) && reachable(key) && sound(key))
+                .or_else(|| choose(&|key| untried(key) && reachable(key)))
+                .or_else(|| choose(&untried))
+                .or_else(|| choose(&|_| true));
+            if chosen.is_some() {
+                return chosen;
+            }
+        }
+        None
+    }
+
+    fn follow(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        route: &snapshot::Route,
+        now: time::Instant,
+        flow: flow::Key,
+        segment: &segment::Segment,
+    ) -> Verdict {
+        let Some(key) = snapshot.cookies.get(&segment.cookie).copied() else {
+            return Verdict::Drop(count::Counter::DropUnknownCookie);
+        };
+        let Some(target) = snapshot.target(key) else {
+            return Verdict::Drop(count::Counter::DropUnknownCookie);
+        };
+        if !route.known.contains(&target.service) {
+            return Verdict::Drop(count::Counter::DropForeignCookie);
+        }
+        let stalls = self.observe(now, flow, segment, key);
+        if let Some(cause) = self.broken(snapshot, route, now, target, key, stalls)
+            && segment.kind == packet::Kind::Middle
+        {
+            self.note(snapshot, now, flow, segment, cause, Some(key));
+            self.tally.remove(flow);
+            return Verdict::Reset;
+        }
+        if matches!(segment.kind, packet::Kind::Finish | packet::Kind::Reset) {
+            self.tally.remove(flow);
+        }
+        self.forward(key)
+    }
+
+    /// Takes what a later packet shows; returns for how many packets its flow has stalled.
+    fn observe(
+        &mut self,
+        now: time::Instant,
+        flow: flow::Key,
+        segment: &segment::Segment,
+        target: key::Target,
+    ) -> u8 {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let fresh = tally::Flow {
+            acknowledged: segment.acknowledged,
+            copies: 0,
+            open: true,
+            seen: now,
+            sent: end,
+            stalls: 0,
+            target,
+            tried: [None; 2],
+        };
+        let Some(before) = self.tally.get(flow).copied() else {
+            self.tally.put(flow, fresh);
+            return 0;
+        };
+        if !before.open || before.target != target {
+            if !before.open {
+                self.mark_progress(now, target);
+            }
+            self.tally.put(flow, fresh);
+            return 0;
+        }
+        let mut after = before;
+        after.seen = now;
+        if is_after(segment.acknowledged, before.acknowledged) {
+            after.acknowledged = segment.acknowledged;
+            after.stalls = 0;
+            self.mark_progress(now, target);
+        } else if segment.length > 0 && !is_after(end, before.sent) {
+            after.stalls = before.stalls.saturating_add(1);
+            self.mark_stall(now, target);
+        }
+        if is_after(end, before.sent) {
+            after.sent = end;
+        }
+        self.tally.put(flow, after);
+        after.stalls
+    }
+
+    /// Why a flow cannot go on, if it cannot.
+    fn broken(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        route: &snapshot::Route,
+        now: time::Instant,
+        target: &snapshot::Target,
+        key: key::Target,
+        stalls: u8,
+    ) -> Option<Cause> {
+        if stalls == 0 || now < self.paused_until {
+            return None;
+        }
+        if target.usage == snapshot::Use::Ended && self.evidence(key).is_dead(now) {
+            return Some(Cause::Ended);
+        }
+        let cut = snapshot.is_silent(target.zone) && self.is_suspect(target.zone);
+        let repeatable = route.kind == catalog::Kind::Idempotent;
+        (cut && repeatable).then_some(Cause::ZoneCut)
+    }
+
+    /// Notes the passing of time.
+    pub fn tick(&mut self, snapshot: &snapshot::Snapshot, now: time::Instant) {
+        self.tally.sweep(now);
+        if now.since(self.ticked) > PAUSE {
+            self.paused_until = now + PAUSE;
+        }
+        self.ticked = now;
+        self.suspects = evidence::suspect_zones(now, snapshot, |key| self.evidence(key));
+    }
+
+    /// What there is to tell since the last report.
+    pub fn report(&mut self, snapshot: &snapshot::Snapshot, now: time::Instant) -> Report {
+        let avoided = snapshot
+            .services
+            .iter()
+            .flatten()
+            .copied()
+            .filter(|key| self.evidence(*key).is_avoided(now))
+            .collect();
+        Report {
+            avoided,
+            decisions: std::mem::take(&mut self.decisions),
+            flows: self.tally.len(),
+            loads: self.tally.counts().collect(),
+            omitted: std::mem::take(&mut self.omitted),
+            suspects: self.suspects.clone(),
+        }
+    }
+
+    /// A flow that was seen lately.
+    pub fn flow(&self, key: flow::Key) -> Option<&tally::Flow> {
+        self.tally.get(key)
+    }
+
+    fn load(&self, snapshot: &snapshot::Snapshot, key: key::Target) -> u32 {
+        let elsewhere = snapshot.target(key).map_or(0, |target| target.load);
+        self.tally.count(key) + elsewhere
+    }
+
+    fn forward(&self, target: key::Target) -> Verdict {
+        self.counters.increment(count::Counter::Forwarded);
+        Verdict::Forward(target)
+    }
+
+    fn evidence(&self, key: key::Target) -> evidence::Evidence {
+        self.evidence.get(key.index()).copied().unwrap_or_default()
+    }
+
+    fn evidence_mut(&mut self, key: key::Target) -> &mut evidence::Evidence {
+        let index = key.index();
+        if self.evidence.len() <= index {
+            self.evidence
+                .resize(index + 1, evidence::Evidence::default());
+        }
+        &mut self.evidence[index]
+    }
+
+    fn mark_stall(&mut self, now: time::Instant, key: key::Target) {
+        self.counters.increment(count::Counter::FlowStalled);
+        self.evidence_mut(key).stall(now);
+    }
+
+    fn mark_progress(&mut self, now: time::Instant, key: key::Target) {
+        self.evidence_mut(key).progress(now);
+    }
+
+    fn is_suspect(&self, zone: key::Zone) -> bool {
+        self.suspects.get(zone.index()).copied().unwrap_or(false)
+    }
+
+    fn note(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        now: time::Instant,
+        flow: flow::Key,
+        segment: &segment::Segment,
+        cause: Cause,
+        target: Option<key::Target>,
+    ) {
+        if self.decisions.len() >= MAX_DECISIONS {
+            self.omitted += 1;
+            return;
+        }
+        self.decisions.push(Decision {
+            age: snapshot.age,
+            as_of: snapshot.as_of,
+            at: now,
+            cause,
+            flow,
+            load: target.map_or(0, |key| self.load(snapshot, key)),
+            segment: *segment,
+            target,
+            version: snapshot.version,
+        });
+    }
+}
+
+/// Whether a sequence number comes after another, across the wrap.
+fn is_after(later: u32, earlier: u32) -> bool {
+    later != earlier && later.wrapping_sub(earlier) < u32::MAX / 2
+}
--- /dev/null
+++ b/lib/src/coordination/cookie/tally.rs
@@ -0,0 +1,116 @@
+//! The flows that a traffic thread has seen lately, and how many it counts on each target.
+//!
+//! A flow is counted while its packets come by this instance. One that was not seen for a while has
+//! ended or comes by another instance, which then counts it.
+
+use std::collections::HashMap;
+
+use crate::state::{arena, flow, key, time};
+
+/// Time without a packet after which a flow is no longer counted here; above the usual pause
+/// between two requests of a flow.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(6);
+
+/// One flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Flow {
+    /// Highest sequence number that the caller has acknowledged.
+    pub acknowledged: u32,
+    /// Copies of the first packet seen so far.
+    pub copies: u32,
+    /// Whether a packet after the first was seen.
+    pub open: bool,
+    /// Last packet.
+    pub seen: time::Instant,
+    /// End of the data that the caller has sent.
+    pub sent: u32,
+    /// Packets in a row that showed no progress.
+    pub stalls: u8,
+    /// Its target.
+    pub target: key::Target,
+    /// Targets that got a copy of the first packet before.
+    pub tried: [Option<key::Target>; 2],
+}
+
+/// Flows and their number on each target.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    counts: Vec<u32>,
+    flows: arena::Arena<key::Entry, Flow>,
+    index: HashMap<flow::Key, key::Entry>,
+}
+
+impl Tally {
+    /// Flows that are counted on a target.
+    pub fn count(&self, target: key::Target) -> u32 {
+        self.counts.get(target.index()).copied().unwrap_or(0)
+    }
+
+    /// Flows that are counted, by target.
+    pub fn counts(&self) -> impl Iterator<Item = (key::Target, u32)> {
+        self.counts
+            .iter()
+            .enumerate()
+            .filter(|(_, count)| **count > 0)
+            .map(|(index, count)| (key::Target::from(index), *count))
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether there is no flow.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// A flow.
+    pub fn get(&self, key: flow::Key) -> Option<&Flow> {
+        self.flows.get(*self.index.get(&key)?)
+    }
+
+    /// Adds or replaces a flow.
+    pub fn put(&mut self, key: flow::Key, flow: Flow) {
+        self.remove(key);
+        *self.slot(flow.target) += 1;
+        let entry = self.flows.insert(flow);
+        self.index.insert(key, entry);
+    }
+
+    /// Removes a flow.
+    pub fn remove(&mut self, key: flow::Key) {
+        if let Some(flow) = self
+            .index
+            .remove(&key)
+            .and_then(|entry| self.flows.remove(entry))
+        {
+            let count = self.slot(flow.target);
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Removes the flows that were not seen for a while.
+    pub fn sweep(&mut self, now: time::Instant) {
+        let old: Vec<flow::Key> = self
+            .index
+            .iter()
+            .filter(|(_, entry)| {
+                let flow = self.flows.get(**entry);
+                flow.is_some_and(|flow| now.since(flow.seen) >= FORGET_AFTER)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in old {
+            self.remove(key);
+        }
+    }
+
+    fn slot(&mut self, target: key::Target) -> &mut u32 {
+        let index = target.index();
+        if self.counts.len() <= index {
+            self.counts.resize(index + 1, 0);
+        }
+        &mut self.counts[index]
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod burn;
 pub mod change;
 pub mod control;
+pub mod cookie;
 pub mod hash;
 pub mod health;
 pub mod history;
--- a/lib/src/state/code.rs
+++ b/lib/src/state/code.rs
@@ -47,6 +47,8 @@
     PlatformAnswer = 401,
     /// An instance cannot be reached.
     InstanceUnreachable = 402,
+    /// The platform no longer has the history that a watch asks for.
+    PlatformHistory = 403,
     /// A frame fails its authentication.
     FrameAuthentication = 500,
     /// A frame cannot be decoded.
@@ -61,7 +63,7 @@
 
 impl Code {
     /// All codes in numeric order.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::Ok,
         Self::Usage,
         Self::FileUnreadable,
@@ -80,6 +82,7 @@
         Self::PlatformUnreachable,
         Self::PlatformAnswer,
         Self::InstanceUnreachable,
+        Self::PlatformHistory,
         Self::FrameAuthentication,
         Self::FrameEncoding,
         Self::SocketUnavailable,
@@ -113,6 +116,7 @@
             Self::PlatformUnreachable => "the platform cannot be reached",
             Self::PlatformAnswer => "the platform answered with an error",
             Self::InstanceUnreachable => "an instance cannot be reached",
+            Self::PlatformHistory => "the platform no longer has the history that a watch asks for",
             Self::FrameAuthentication => "a frame fails its authentication",
             Self::FrameEncoding => "a frame cannot be decoded",
             Self::SocketUnavailable => "a socket cannot be opened",
--- a/lib/src/state/count.rs
+++ b/lib/src/state/count.rs
@@ -48,6 +48,8 @@
     EntryEnded => "entries_ended",
     /// Flow entries given up at the bound on entries.
     EntryGivenUp => "entries_given_up",
+    /// Packets that were sent again since the target did not answer in time.
+    FlowStalled => "flows_stalled",
     /// Entries whose target changed when two placements met.
     EntryMerged => "entries_merged",
     /// Bytes of control frames sent.
@@ -68,6 +70,10 @@
     DropUnknownAddress => "drop_unknown_address",
     /// Packets dropped: larger than a receive buffer.
     DropOversized => "drop_oversized",
+    /// Packets dropped: no target has their cookie.
+    DropUnknownCookie => "drop_unknown_cookie",
+    /// Packets dropped: their cookie names a target that the route never led to.
+    DropForeignCookie => "drop_foreign_cookie",
     /// Packets dropped: held longer than the bound.
     DropHeldTooLong => "drop_held_too_long",
     /// Datagrams dropped: they waited while the thread was paused.
@@ -90,6 +96,10 @@
     DropEncoding => "drop_encoding",
     /// Sends that the socket did not take.
     SendFailed => "send_failed",
+    /// Calls to the platform, waiting ones included.
+    PlatformCall => "platform_calls",
+    /// Calls to the platform that failed.
+    PlatformCallFailed => "platform_calls_failed",
     /// Events that the control thread's queue could not take.
     EventLost => "events_lost",
 }
--- a/lib/src/state/key.rs
+++ b/lib/src/state/key.rs
@@ -50,6 +50,11 @@
     Target,
     u32
 );
+define_key!(
+    /// An instance that was found through its heartbeats.
+    Peer,
+    u16
+);
 define_key!(
     /// An availability zone of the accepted sheet.
     Zone,
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod arena;
 pub mod bitmap;
+pub mod catalog;
 pub mod code;
 pub mod count;
 pub mod fleet;
@@ -9,5 +10,7 @@
 pub mod key;
 pub mod packet;
 pub mod random;
+pub mod segment;
+pub mod snapshot;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/lib/src/state/snapshot.rs
@@ -0,0 +1,120 @@
+//! The immutable picture by which traffic threads place and forward flows that carry a cookie.
+//!
+//! The control thread publishes a new one after each change; parts that did not change are shared.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+
+use crate::state::{catalog, key, time};
+
+/// A value in the packets of a flow that names its target.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Cookie(pub u32);
+
+impl Cookie {
+    /// The value of packets that name no target.
+    pub const NONE: Self = Self(0);
+}
+
+/// A service that a route sends new flows to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Branch {
+    /// The service.
+    pub service: key::Service,
+    /// Share of the new flows, relative to the other branches.
+    pub weight: u32,
+}
+
+/// A public address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Services that take new flows.
+    pub branches: Vec<Branch>,
+    /// Repeatability of the requests.
+    pub kind: catalog::Kind,
+    /// Services that took new flows in this or an earlier version.
+    pub known: Vec<key::Service>,
+}
+
+/// Use that may be made of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Use {
+    /// New flows.
+    Place,
+    /// Only the flows that it has.
+    Keep,
+    /// Its registration is gone for long enough that it has certainly ended.
+    Ended,
+}
+
+/// A target as traffic threads see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Address of its datagram socket.
+    pub address: SocketAddrV4,
+    /// End of the time for which it is slow after its start.
+    pub cold_until: time::Instant,
+    /// Flows that it may hold.
+    pub connections: u32,
+    /// Cookie of its flows.
+    pub cookie: Cookie,
+    /// Identity that packets to it carry.
+    pub id: key::Name,
+    /// Open flows on it that other instances count.
+    pub load: u32,
+    /// Its service.
+    pub service: key::Service,
+    /// Requests that it processes at once.
+    pub slots: u16,
+    /// Use that may be made of it.
+    pub usage: Use,
+    /// Its availability zone.
+    pub zone: key::Zone,
+}
+
+/// The published picture.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Age of the facts when it was published.
+    pub age: time::Duration,
+    /// Revision of the facts.
+    pub as_of: u64,
+    /// Targets by cookie.
+    pub cookies: Arc<HashMap<Cookie, key::Target>>,
+    /// Whether the facts were confirmed a short time ago.
+    pub fresh: bool,
+    /// Number of this picture.
+    pub generation: u64,
+    /// Routes by public address.
+    pub routes: Arc<HashMap<SocketAddrV4, Route>>,
+    /// Targets that take new flows, by service.
+    pub services: Vec<Vec<key::Target>>,
+    /// Zones whose instances have all fallen silent, by zone.
+    pub silent_zones: Vec<bool>,
+    /// Targets by key.
+    pub targets: Vec<Option<Target>>,
+    /// Version of the configuration; zero without one.
+    pub version: u64,
+    /// Zone of this instance.
+    pub zone: Option<key::Zone>,
+    /// Names of the zones.
+    pub zones: Arc<Vec<CompactString>>,
+}
+
+impl Snapshot {
+    /// The target of a key.
+    pub fn target(&self, key: key::Target) -> Option<&Target> {
+        self.targets.get(key.index())?.as_ref()
+    }
+
+    /// Whether all instances of a zone have fallen silent.
+    pub fn is_silent(&self, zone: key::Zone) -> bool {
+        self.silent_zones
+            .get(zone.index())
+            .copied()
+            .unwrap_or(false)
+    }
+}
