--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -114,7 +114,7 @@
 fn serve(instance: u16) -> SocketAddr {
     let address = SocketAddr::from(([127, 45, 0, instance as u8 + 1], 8_000));
     page::serve(
-        address,
+        &[address],
         Arc::new(move |request| match request.path.as_str() {
             "/status" => page::json(&fixed_status(instance)),
             "/burn" => page::json(&fixed_burn(instance)),
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,7 +1,9 @@
 //! Encodings: packets, frames between instances, the sheet's documents, settings and reports.
 //! Imports `coordination` and `state`.
 
+pub mod cookie_settings;
 pub mod fault;
+pub mod ini;
 pub mod ip;
 pub mod manifest;
 pub mod report;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -1,20 +1,18 @@
 //! Settings of the daemon: INI sections with checked keys and units in values.
 //!
-//! Every section is a struct read through `serde`; the line of each key is kept so that an error
-//! names file, line, key, what was found and what is allowed.
+//! These are the settings of an instance that forwards IP packets by buckets; `cookie_settings` has
+//! those of one that forwards by cookie.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use compact_str::CompactString;
-use ini_core::{Item, Parser};
 use serde::Deserialize;
-use serde::de::value::MapDeserializer;
 use serde_with::DisplayFromStr;
 
 use crate::coordination::hash;
-use crate::protocol::{fault, unit, wire};
+use crate::protocol::{fault, ini, unit, wire};
 use crate::state::{code, key, view};
 
 /// This instance.
@@ -152,29 +150,22 @@
     1_024
 }
 
-/// A key and what it allows.
-type Key = (&'static str, &'static str);
-
-const ADDRESS: &str = "ADDRESS:PORT";
-const COUNT: &str = "a whole number";
-const PORT: &str = "a port from 1 to 65535";
-const SECRET: &str = "32 hexadecimal digits";
-const SIZE: &str = "a size such as 64KiB";
-const TIME: &str = "a time such as 250ms or 5m";
-
 /// Keys of each section; `peers` has numbers for keys.
-const SECTIONS: [(&str, &[Key]); 7] = [
-    ("fabric", &[("return_address", ADDRESS)]),
+const LAYOUT: ini::Layout = &[
+    (
+        "fabric",
+        &[("format", "ip"), ("return_address", ini::ADDRESS)],
+    ),
     (
         "instance",
         &[
             ("address", "an IP address"),
-            ("control_port", PORT),
+            ("control_port", ini::PORT),
             ("number", "a number from 0 to 31"),
-            ("shards", COUNT),
-            ("status", ADDRESS),
-            ("stop_delay", TIME),
-            ("traffic_port", PORT),
+            ("shards", ini::COUNT),
+            ("status", ini::ADDRESS),
+            ("stop_delay", ini::TIME),
+            ("traffic_port", ini::PORT),
             ("zone", "a name"),
         ],
     ),
@@ -183,112 +174,28 @@
         &[
             ("accepted", "NUMBER:SECRET"),
             ("current", "NUMBER:SECRET"),
-            ("flow", SECRET),
+            ("flow", ini::SECRET),
         ],
     ),
     (
         "limits",
         &[
-            ("control_budget", SIZE),
-            ("entries", COUNT),
-            ("held", COUNT),
+            ("control_budget", ini::SIZE),
+            ("entries", ini::COUNT),
+            ("held", ini::COUNT),
         ],
     ),
     ("log", &[("format", "text, json")]),
     ("peers", &[]),
-    ("platform", &[("address", ADDRESS), ("watch", TIME)]),
+    (
+        "platform",
+        &[("address", ini::ADDRESS), ("watch", ini::TIME)],
+    ),
 ];
 
-/// What a key allows.
-fn allowed(section: &str, key: &str) -> &'static str {
-    SECTIONS
-        .iter()
-        .filter(|(name, _)| *name == section)
-        .flat_map(|(_, keys)| *keys)
-        .find(|(name, _)| *name == key)
-        .map_or("", |(_, allowed)| *allowed)
-}
-
-/// One value and its line.
-#[derive(Clone, Debug)]
-struct Value {
-    line: usize,
-    text: String,
-}
-
-type Section = BTreeMap<String, Value>;
-
-struct Reader<'a> {
-    file: &'a str,
-    sections: BTreeMap<String, Section>,
-}
-
-impl Reader<'_> {
-    fn error(
-        &self,
-        code: code::Code,
-        line: usize,
-        text: impl std::fmt::Display,
-    ) -> error_stack::Report<fault::Fault> {
-        let place = if line == 0 {
-            String::new()
-        } else {
-            format!("{line}:")
-        };
-        fault::report(code, format!("{}:{place} {code}: {text}", self.file))
-    }
-
-    fn section(&self, name: &str) -> Section {
-        self.sections.get(name).cloned().unwrap_or_default()
-    }
-
-    /// Reads a section into its struct.
-    fn read<T: for<'a> Deserialize<'a>>(&self, name: &str) -> fault::Result<T> {
-        let section = self.section(name);
-        let pairs = section
-            .iter()
-            .map(|(key, value)| (key.as_str(), value.text.as_str()));
-        let map = MapDeserializer::<_, serde::de::value::Error>::new(pairs);
-        serde_path_to_error::deserialize(map).map_err(|error| {
-            let key = error.path().to_string();
-            let text = error.inner().to_string();
-            match section.get(&key) {
-                Some(value) => self.error(
-                    code::Code::SettingsValue,
-                    value.line,
-                    format!(
-                        "{name}.{key}: found \"{}\", allowed: {}",
-                        value.text,
-                        allowed(name, &key)
-                    ),
-                ),
-                None => self.error(
-                    code::Code::SettingsMissingKey,
-                    0,
-                    format!("[{name}]: {text}"),
-                ),
-            }
-        })
-    }
-
-    fn value(&self, section: &str, key: &str) -> fault::Result<Value> {
-        self.section(section).get(key).cloned().ok_or_else(|| {
-            self.error(
-                code::Code::SettingsMissingKey,
-                0,
-                format!("[{section}]: missing `{key}`"),
-            )
-        })
-    }
-}
-
 /// Reads settings; `file` names the source in errors.
 pub fn parse(file: &str, text: &str) -> fault::Result<Settings> {
-    let mut reader = Reader {
-        file,
-        sections: BTreeMap::new(),
-    };
-    scan(&mut reader, text)?;
+    let reader = ini::Reader::scan(file, text, LAYOUT)?;
     let instance: Instance = reader.read("instance")?;
     if usize::from(instance.number) >= view::MAX_INSTANCES {
         let line = reader.value("instance", "number")?.line;
@@ -310,102 +217,7 @@
     })
 }
 
-fn scan(reader: &mut Reader<'_>, text: &str) -> fault::Result<()> {
-    let mut section = String::new();
-    for (index, line) in text.lines().enumerate() {
-        let line_number = index + 1;
-        // Item by item, so that each keeps the number of its line.
-        for item in Parser::new(line).auto_trim(true) {
-            match item {
-                Item::Section(name) => {
-                    check_name(reader, line_number, "section", name, &section_names())?;
-                    section = name.to_owned();
-                }
-                Item::Property(key, value) => {
-                    add_value(reader, line_number, &section, key, value.unwrap_or(""))?;
-                }
-                Item::Error(found) => {
-                    let text =
-                        format!("found `{found}`, allowed: [section], key = value, ; comment");
-                    return Err(reader.error(code::Code::SettingsSyntax, line_number, text));
-                }
-                _ => {}
-            }
-        }
-    }
-    Ok(())
-}
-
-fn section_names() -> Vec<&'static str> {
-    SECTIONS.iter().map(|(name, _)| *name).collect()
-}
-
-fn add_value(
-    reader: &mut Reader<'_>,
-    line: usize,
-    section: &str,
-    key: &str,
-    value: &str,
-) -> fault::Result<()> {
-    let known = SECTIONS
-        .iter()
-        .find(|(name, _)| *name == section)
-        .map(|(_, keys)| *keys);
-    match known {
-        None => {
-            let text = format!("`{key}` stands before any section");
-            return Err(reader.error(code::Code::SettingsSyntax, line, text));
-        }
-        Some([]) => {}
-        Some(keys) => {
-            let names: Vec<&str> = keys.iter().map(|(name, _)| *name).collect();
-            check_name(reader, line, "key", key, &names)?;
-        }
-    }
-    let value = Value {
-        line,
-        text: value.to_owned(),
-    };
-    let former = reader
-        .sections
-        .entry(section.to_owned())
-        .or_default()
-        .insert(key.to_owned(), value);
-    match former {
-        Some(former) => {
-            let text = format!(
-                "{section}.{key}: found again, first at line {}",
-                former.line
-            );
-            Err(reader.error(code::Code::SettingsValue, line, text))
-        }
-        None => Ok(()),
-    }
-}
-
-fn check_name(
-    reader: &Reader<'_>,
-    line: usize,
-    what: &str,
-    found: &str,
-    allowed: &[&str],
-) -> fault::Result<()> {
-    if allowed.contains(&found) {
-        return Ok(());
-    }
-    let nearest = allowed
-        .iter()
-        .min_by_key(|name| strsim::levenshtein(name, found))
-        .filter(|name| strsim::levenshtein(name, found) <= 3);
-    let hint = nearest.map_or(String::new(), |name| format!(" (did you mean `{name}`?)"));
-    let text = format!(
-        "found {what} `{found}`{hint}, allowed: {}",
-        allowed.join(", ")
-    );
-    Err(reader.error(code::Code::SettingsUnknownKey, line, text))
-}
-
-fn read_peers(reader: &Reader<'_>) -> fault::Result<BTreeMap<key::Instance, SocketAddr>> {
+fn read_peers(reader: &ini::Reader<'_>) -> fault::Result<BTreeMap<key::Instance, SocketAddr>> {
     let mut peers = BTreeMap::new();
     for (number, value) in reader.section("peers") {
         let parsed = number
@@ -425,7 +237,8 @@
     Ok(peers)
 }
 
-fn read_flow_secret(reader: &Reader<'_>) -> fault::Result<hash::Secret> {
+/// Reads the secret of the flow hash. Errors are `SettingsValue` and `SettingsMissingKey`.
+pub fn read_flow_secret(reader: &ini::Reader<'_>) -> fault::Result<hash::Secret> {
     let value = reader.value("keys", "flow")?;
     let (first, second) = unit::parse_secret(&value.text).ok_or_else(|| {
         let text = "keys.flow: allowed: 32 hexadecimal digits";
@@ -434,8 +247,9 @@
     Ok(hash::Secret { first, second })
 }
 
-/// Reads `current` and the optional `accepted` key, each as `number:digits`.
-fn read_ring(reader: &Reader<'_>) -> fault::Result<wire::Ring> {
+/// Reads `current` and the optional `accepted` key, each as `number:digits`. Errors are
+/// `SettingsValue` and `SettingsMissingKey`.
+pub fn read_ring(reader: &ini::Reader<'_>) -> fault::Result<wire::Ring> {
     let mut keys = vec![read_key(
         reader,
         "current",
@@ -447,7 +261,7 @@
     Ok(wire::Ring { keys })
 }
 
-fn read_key(reader: &Reader<'_>, name: &str, value: &Value) -> fault::Result<wire::Key> {
+fn read_key(reader: &ini::Reader<'_>, name: &str, value: &ini::Value) -> fault::Result<wire::Key> {
     let parsed = value.text.split_once(':').and_then(|(number, digits)| {
         Some(wire::Key {
             number: number.parse().ok()?,
--- a/lib/src/transport/control.rs
+++ b/lib/src/transport/control.rs
@@ -8,14 +8,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use arc_swap::ArcSwap;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use compact_str::CompactString;
+use crossbeam_channel::{Receiver, Sender};
 use hdrhistogram::Histogram;
 
 use crate::coordination::{bucket, burn, control, ledger, message};
 use crate::protocol::{fault, sheet, status, wire};
 use crate::state::{code, count, fleet, key, time, view};
-use crate::transport::{clock, platform, probe, timer, traffic, transfer};
+use crate::transport::{clock, probe, pump, timer, traffic};
 
 /// Period of the control decisions.
 const TICK: time::Duration = time::Duration::from_millis(50);
@@ -31,8 +32,8 @@
     Datagram(Vec<u8>),
     /// A sheet fetched from a peer, or none.
     Fetched(Option<message::Bundle>),
-    /// What the platform watch found.
-    Platform(platform::Finding),
+    /// What the platform watch found: a sheet, none in time, or a failure.
+    Platform(fault::Result<Option<message::Bundle>>),
     /// Result of a probe.
     Probed(key::Target, message::Probe),
     /// Begin a planned stop.
@@ -58,7 +59,7 @@
     /// Log.
     pub log: slog::Logger,
     /// The sheet offered to peers.
-    pub offer: transfer::Offer,
+    pub offer: Arc<ArcSwapOption<message::Bundle>>,
     /// Lists for the probe thread.
     pub probes: Sender<probe::List>,
     /// Revision in force, for the platform watch.
@@ -107,23 +108,21 @@
     let mut timers = timer::Service::<Worker>::default();
     timers.subscribe(started, TICK, Worker::tick);
     timers.subscribe(started, STATUS_INTERVAL, Worker::publish_status);
-    while !worker.stopped {
-        let wait = timers.wait(clock.now()).unwrap_or(TICK);
-        match worker.parts.events.recv_timeout(wait) {
-            Ok(event) => worker.handle(clock.now(), event),
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
-        let now = clock.now();
-        timers.run(&mut worker, now);
-        worker.parts.control.send_heartbeats(now);
-        worker.carry_out();
-    }
+    let events = worker.parts.events.clone();
+    let handle = Worker::handle;
+    pump::control(clock, &mut worker, timers, &events, handle, Worker::finish);
     // The traffic threads end with the process if their queues are full.
     let _ = traffic::command_all(&worker.parts.threads, &traffic::Command::Stop);
 }
 
 impl Worker {
+    /// Sends what the decisions ask for; returns whether the thread goes on.
+    fn finish(&mut self, now: time::Instant) -> bool {
+        self.parts.control.send_heartbeats(now);
+        self.carry_out();
+        !self.stopped
+    }
+
     fn own_counters(&self) -> Option<&Arc<count::Set>> {
         self.parts.counters.last()
     }
@@ -139,10 +138,11 @@
             Event::Datagram(bytes) => self.handle_datagram(now, &bytes),
             Event::Fetched(Some(bundle)) => self.take_bundle(now, bundle),
             Event::Fetched(None) => {}
-            Event::Platform(platform::Finding::Sheet(bundle)) => self.take_bundle(now, bundle),
-            Event::Platform(platform::Finding::Reachable(reachable)) => {
-                self.platform_reachable = Some(reachable);
-                slog::info!(self.parts.log, "platform"; "reachable" => reachable);
+            Event::Platform(outcome) => {
+                self.set_platform_reachable(outcome.as_ref().err());
+                if let Ok(Some(bundle)) = outcome {
+                    self.take_bundle(now, bundle);
+                }
             }
             Event::Probed(target, probe) => self.parts.control.on_probe(target, probe),
             Event::Stop => self.parts.control.leave(now),
@@ -150,6 +150,17 @@
         }
     }
 
+    /// Notes whether the platform answered.
+    fn set_platform_reachable(&mut self, failure: Option<&error_stack::Report<fault::Fault>>) {
+        let reachable = failure.is_none();
+        // The first answer is no change worth a line.
+        if self.platform_reachable.unwrap_or(true) != reachable {
+            let why = failure.map(|report| fault::texts(report).join("; "));
+            slog::info!(self.parts.log, "platform"; "reachable" => reachable, "why" => why);
+        }
+        self.platform_reachable = Some(reachable);
+    }
+
     fn handle_datagram(&mut self, now: time::Instant, bytes: &[u8]) {
         if wire::kind(bytes) != Some(wire::Kind::Heartbeat) {
             self.count(count::Counter::DropMalformed, 1);
@@ -291,19 +302,9 @@
 
     fn publish_status(&mut self, now: time::Instant) {
         let control = &self.parts.control;
-        let mut counters = BTreeMap::new();
-        for counter in count::Counter::ALL {
-            let total = self
-                .parts
-                .counters
-                .iter()
-                .map(|set| set.get(*counter))
-                .sum();
-            counters.insert(counter.name().into(), total);
-        }
         let status = status::Status {
             alone: control.membership.alive().next().is_none(),
-            counters,
+            counters: totals(&self.parts.counters),
             entries: self.entries,
             instance: control.config.self_key.0,
             peers: peers(control, now),
@@ -329,7 +330,19 @@
     }
 }
 
-fn quantiles(times: &Histogram<u64>) -> Vec<status::Quantile> {
+/// Counters summed over threads, by name.
+pub fn totals(sets: &[Arc<count::Set>]) -> BTreeMap<CompactString, u64> {
+    count::Counter::ALL
+        .iter()
+        .map(|counter| {
+            let total = sets.iter().map(|set| set.get(*counter)).sum();
+            (counter.name().into(), total)
+        })
+        .collect()
+}
+
+/// The quantiles that operators see of measured times.
+pub fn quantiles(times: &Histogram<u64>) -> Vec<status::Quantile> {
     QUANTILES
         .iter()
         .map(|quantile| status::Quantile {
--- /dev/null
+++ b/lib/src/transport/cookie/control.rs
@@ -0,0 +1,386 @@
+//! The control thread of an instance that forwards by cookie.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender};
+use hdrhistogram::Histogram;
+
+use crate::coordination::cookie::{beat, core};
+use crate::protocol::{cookie_settings, fault, status, wire};
+use crate::state::{catalog, count, key, snapshot, time};
+use crate::transport::cookie::{front, journal, traffic};
+use crate::transport::{clock, control, files, pump, timer, traffic as bucket_traffic};
+
+/// Period of the control decisions.
+const TICK: time::Duration = time::Duration::from_millis(100);
+/// Time between published states for operators.
+const STATUS_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL: time::Duration = time::Duration::from_secs(2);
+/// Sender of frames whose receivers go by the address they come from.
+const SENDER: key::Instance = key::Instance(0);
+
+/// What reaches the control thread.
+#[derive(Debug)]
+pub enum Event {
+    /// A datagram of another instance.
+    Datagram(SocketAddr, Vec<u8>),
+    /// What a fetch from a peer gave, with its age in milliseconds.
+    Fetched(SocketAddr, fault::Result<Option<(catalog::Delta, u32)>>),
+    /// Another instance asks for what changed after a revision.
+    Offer(u64, Sender<(catalog::Delta, u32)>),
+    /// What a call to the platform gave, and when.
+    Platform(time::Instant, fault::Result<Option<front::Reading>>),
+    /// Look at the settings file.
+    Reload,
+    /// Begin a planned stop.
+    Stop,
+    /// A traffic thread's event.
+    Traffic(usize, traffic::Event),
+}
+
+/// What the control thread works with.
+pub struct Parts {
+    /// Clock of the process.
+    pub clock: clock::Clock,
+    /// Control decisions.
+    pub core: core::Core,
+    /// Counters of the traffic threads and, last, of this thread.
+    pub counters: Vec<Arc<count::Set>>,
+    /// Events.
+    pub events: Receiver<Event>,
+    /// Asks the fetch thread to fetch from a peer what changed after a revision.
+    pub fetches: Sender<(SocketAddr, u64)>,
+    /// Log.
+    pub log: slog::Logger,
+    /// Revision that the watch continues from.
+    pub revision: Arc<AtomicU64>,
+    /// Keys of frames.
+    pub ring: wire::Ring,
+    /// Settings in force.
+    pub settings: cookie_settings::Settings,
+    /// File of the settings.
+    pub settings_file: PathBuf,
+    /// The picture in force.
+    pub snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    /// Socket for heartbeats.
+    pub socket: UdpSocket,
+    /// The state that operators see.
+    pub status: Arc<ArcSwap<status::Status>>,
+    /// Commands to the traffic threads.
+    pub threads: Vec<Sender<traffic::Command>>,
+    /// Wishes for the platform watch.
+    pub watch: Sender<bool>,
+}
+
+struct Worker {
+    parts: Parts,
+    settings_text: String,
+    started: time::Instant,
+    stop_at: Option<time::Instant>,
+    stopped: bool,
+    times: Histogram<u64>,
+}
+
+/// Runs the control thread until a planned stop is complete.
+pub fn run(parts: Parts) {
+    let clock = parts.clock;
+    let started = clock.now();
+    let events = parts.events.clone();
+    let mut worker = Worker {
+        settings_text: files::read(&parts.settings_file).unwrap_or_default(),
+        parts,
+        started,
+        stop_at: None,
+        stopped: false,
+        times: bucket_traffic::new_histogram(),
+    };
+    let mut timers = timer::Service::<Worker>::default();
+    timers.subscribe(started, TICK, Worker::tick);
+    timers.subscribe(started, STATUS_INTERVAL, Worker::publish_status);
+    timers.subscribe(started, SETTINGS_INTERVAL, |worker, _| worker.reload());
+    worker.tick(started);
+    worker.carry_out(started);
+    let handle = Worker::handle;
+    pump::control(clock, &mut worker, timers, &events, handle, Worker::finish);
+    slog::info!(worker.parts.log, "stopped");
+    for thread in &worker.parts.threads {
+        // The traffic threads end with the process if their queues are full.
+        let _ = thread.try_send(traffic::Command::Stop);
+    }
+}
+
+impl Worker {
+    fn count(&self, counter: count::Counter, amount: u64) {
+        if let Some(counters) = self.parts.counters.last() {
+            counters.add(counter, amount);
+        }
+    }
+
+    fn handle(&mut self, now: time::Instant, event: Event) {
+        match event {
+            Event::Datagram(from, bytes) => self.handle_datagram(now, from, &bytes),
+            Event::Fetched(from, outcome) => self.handle_fetched(now, from, outcome),
+            Event::Offer(since, answer) => {
+                let offer = self.parts.core.offer(now, since);
+                // The asker may have given up waiting.
+                let _ = answer.try_send(offer);
+            }
+            Event::Platform(at, outcome) => self.handle_platform(now, at, outcome),
+            Event::Reload => self.reload(),
+            Event::Stop => self.begin_stop(now),
+            Event::Traffic(shard, traffic::Event::Report(report)) => {
+                for decision in &report.decisions {
+                    journal::decision(&self.parts.log, &self.parts.core, decision);
+                }
+                if report.omitted > 0 {
+                    journal::omitted(&self.parts.log, report.omitted);
+                }
+                self.parts.core.on_report(shard, report);
+            }
+            // Both histograms have the same bounds.
+            Event::Traffic(_, traffic::Event::Times(times)) => drop(self.times.add(&times)),
+        }
+    }
+
+    fn handle_datagram(&mut self, now: time::Instant, from: SocketAddr, bytes: &[u8]) {
+        match wire::decode::<beat::Beat>(&self.parts.ring, bytes) {
+            Ok((_, beat)) => {
+                self.count(count::Counter::ControlFramesReceived, 1);
+                self.parts.core.on_beat(now, from, beat);
+            }
+            Err(reason) => self.count(reason, 1),
+        }
+    }
+
+    fn handle_fetched(
+        &mut self,
+        now: time::Instant,
+        from: SocketAddr,
+        outcome: fault::Result<Option<(catalog::Delta, u32)>>,
+    ) {
+        match outcome {
+            Ok(Some((delta, age_ms))) => {
+                let age = time::Duration::from_millis(u64::from(age_ms));
+                let origin = core::Origin::Peer(from);
+                self.parts.core.on_facts(now, &delta, age, origin);
+                self.follow_revision();
+            }
+            Ok(None) => self.parts.core.on_fetch_failed(),
+            Err(report) => {
+                slog::warn!(self.parts.log, "fetch failed"; "peer" => %from,
+                    "code" => %fault::code(&report), "why" => fault::texts(&report).join("; "));
+                self.parts.core.on_fetch_failed();
+            }
+        }
+    }
+
+    fn handle_platform(
+        &mut self,
+        now: time::Instant,
+        at: time::Instant,
+        outcome: fault::Result<Option<front::Reading>>,
+    ) {
+        self.count(count::Counter::PlatformCall, 1);
+        match outcome {
+            Ok(Some(front::Reading { delta, faults, .. })) => {
+                for fault in faults {
+                    slog::error!(self.parts.log, "published fact not understood"; "why" => fault);
+                }
+                let origin = core::Origin::Publisher;
+                self.parts.core.on_facts(now, &delta, now.since(at), origin);
+                self.follow_revision();
+            }
+            Ok(None) => {}
+            Err(report) => {
+                self.count(count::Counter::PlatformCallFailed, 1);
+                journal::call_failed(&self.parts.log, &report);
+                self.parts.core.on_publisher_failed();
+            }
+        }
+    }
+
+    fn follow_revision(&self) {
+        let as_of = self.parts.core.beliefs.as_of;
+        self.parts.revision.store(as_of, Ordering::Relaxed);
+    }
+
+    fn begin_stop(&mut self, now: time::Instant) {
+        if self.stop_at.is_none() {
+            let delay = self.parts.settings.instance.stop_delay;
+            slog::info!(self.parts.log, "stopping"; "forwarding_ms" => journal::millis(delay));
+            self.parts.core.leave(now);
+            self.stop_at = Some(now + delay);
+            self.publish_status(now);
+        }
+    }
+
+    fn tick(&mut self, now: time::Instant) {
+        self.parts.core.tick(now);
+        self.stopped = self.stop_at.is_some_and(|stop_at| now >= stop_at);
+    }
+
+    /// Takes changed settings. Addresses are fixed for the life of the process.
+    fn reload(&mut self) {
+        let file = self.parts.settings_file.display().to_string();
+        let text = match files::read(&self.parts.settings_file) {
+            Ok(text) => text,
+            Err(report) => {
+                slog::warn!(self.parts.log, "settings not read"; "code" => %fault::code(&report),
+                    "why" => fault::texts(&report).join("; "));
+                return;
+            }
+        };
+        if text == self.settings_text {
+            return;
+        }
+        match cookie_settings::parse(&file, &text) {
+            Ok(settings) => {
+                slog::info!(self.parts.log, "reloaded"; "seeds" => settings.seeds.len());
+                self.parts.core.set_seeds(settings.seeds.clone());
+                self.parts.settings = settings;
+            }
+            Err(report) => {
+                slog::error!(self.parts.log, "settings refused, former ones stay in force";
+                    "code" => %fault::code(&report), "why" => fault::texts(&report).join("; "));
+            }
+        }
+        self.settings_text = text;
+    }
+
+    /// Carries out what the decisions ask for; returns whether the thread goes on.
+    fn finish(&mut self, now: time::Instant) -> bool {
+        self.carry_out(now);
+        !self.stopped
+    }
+
+    fn carry_out(&mut self, now: time::Instant) {
+        let outputs: Vec<core::Output> = self.parts.core.outputs().collect();
+        let ready = self.parts.core.is_ready();
+        if self.parts.status.load().ready != ready {
+            slog::info!(self.parts.log, "readiness"; "ready" => ready,
+                "as_of" => self.parts.core.beliefs.as_of);
+            self.publish_status(now);
+        }
+        for output in outputs {
+            match output {
+                core::Output::Beat(to, beat) => self.send(&to, &beat),
+                core::Output::Fetch(peer, since) => {
+                    if self.parts.fetches.try_send((peer, since)).is_err() {
+                        self.count(count::Counter::EventLost, 1);
+                    }
+                }
+                core::Output::Log(event) => {
+                    journal::event(&self.parts.log, &self.parts.core, now, &event);
+                }
+                core::Output::Publish(snapshot) => self.parts.snapshot.store(snapshot),
+                core::Output::Watch(wanted) => {
+                    if self.parts.watch.try_send(wanted).is_err() {
+                        self.count(count::Counter::EventLost, 1);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &[SocketAddr], beat: &beat::Beat) {
+        let frame = wire::encode(&self.parts.ring, wire::Kind::Heartbeat, SENDER, beat);
+        for address in to {
+            match self.parts.socket.send_to(&frame, address) {
+                Ok(sent) => {
+                    self.count(count::Counter::ControlBytesSent, sent as u64);
+                    self.count(count::Counter::ControlFramesSent, 1);
+                }
+                Err(_) => self.count(count::Counter::SendFailed, 1),
+            }
+        }
+    }
+
+    fn publish_status(&mut self, now: time::Instant) {
+        let core = &self.parts.core;
+        let times = BTreeMap::from([("batch".into(), control::quantiles(&self.times))]);
+        let status = status::Status {
+            alone: core.peers.alive(now).next().is_none(),
+            counters: control::totals(&self.parts.counters),
+            entries: core.reports.iter().map(|report| report.flows as u64).sum(),
+            instance: SENDER.0,
+            peers: peers(core, now),
+            phase: None,
+            platform_reachable: core.is_publisher_reachable(),
+            ready: core.is_ready(),
+            revision: core.beliefs.version(),
+            services: services(core),
+            settled: core.beliefs.is_complete(),
+            times,
+            uptime_seconds: now.since(self.started).as_secs(),
+            watching: core.watching,
+            zone: core.config.zone.clone(),
+        };
+        self.parts.status.store(Arc::new(status));
+    }
+}
+
+fn peers(core: &core::Core, now: time::Instant) -> Vec<status::Peer> {
+    core.peers
+        .known
+        .iter()
+        .map(|(key, peer)| status::Peer {
+            alive: peer.is_alive(now),
+            instance: key.0,
+            phase: None,
+            revision: peer.beat.version,
+            silent_ms: Some(journal::millis(now.since(peer.heard))),
+        })
+        .collect()
+}
+
+/// Services with their targets, for operators.
+fn services(core: &core::Core) -> Vec<status::Service> {
+    let mut services: BTreeMap<&str, Vec<status::Target>> = BTreeMap::new();
+    for (key, record) in core.beliefs.targets.iter() {
+        let Some(target) = core.snapshot.target(key) else {
+            continue;
+        };
+        let avoided = core
+            .reports
+            .iter()
+            .any(|report| report.avoided.contains(&key));
+        let fitness = match (target.usage, avoided) {
+            (snapshot::Use::Place, true) => "failed",
+            (snapshot::Use::Place, false) => "fit",
+            (snapshot::Use::Keep | snapshot::Use::Ended, _) => "closed",
+        };
+        let own = core.reports.iter().flat_map(|report| &report.loads);
+        let own = own.filter(|(target, _)| *target == key);
+        let service = services.entry(&record.details.service).or_default();
+        service.push(status::Target {
+            address: record.details.address.to_string().into(),
+            fitness: fitness.into(),
+            flows: target.load + own.map(|(_, flows)| flows).sum::<u32>(),
+            homes: 0,
+            name: format!("{:x}", record.id.0).into(),
+            state: format!("{:?}", record.details.duty).to_lowercase().into(),
+            weight_percent: 100,
+            zone: record.details.zone.clone(),
+        });
+    }
+    services
+        .into_iter()
+        .map(|(name, targets)| status::Service {
+            address: "".into(),
+            buckets: 0,
+            direct: 0,
+            flexible_share: 0,
+            name: name.into(),
+            owned: 0,
+            protocol: "tcp".into(),
+            settling: 0,
+            targets,
+        })
+        .collect()
+}
--- /dev/null
+++ b/lib/src/transport/cookie/journal.rs
@@ -0,0 +1,127 @@
+//! Log lines of an instance that forwards by cookie.
+//!
+//! Every line that touches a flow has the flow's identifier, which is equal on every instance, and
+//! the revision and age of the facts that it was decided by.
+
+use crate::coordination::cookie::{catalog as beliefs, core, forward, peers};
+use crate::protocol::fault;
+use crate::state::{flow, key, time};
+
+/// Whole milliseconds, as all times in lines are given.
+pub fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The identifier of a flow in lines and commands.
+pub fn flow_id(key: flow::Key) -> String {
+    format!("{:016x}", key.low)
+}
+
+/// The identifier of a target in lines, as it is registered.
+fn target_id(core: &core::Core, key: key::Target) -> Option<String> {
+    let record = core.beliefs.targets.get(key)?;
+    Some(format!("{:x}", record.id.0))
+}
+
+/// A line for a decision on a flow.
+pub fn decision(log: &slog::Logger, core: &core::Core, decision: &forward::Decision) {
+    let outcome = match (decision.cause, decision.target) {
+        (forward::Cause::Placed | forward::Cause::Unanswered, Some(_)) => "forwarded",
+        _ => "reset",
+    };
+    slog::info!(log, "flow";
+        "flow" => flow_id(decision.flow),
+        "caller" => %decision.segment.caller,
+        "route" => %decision.segment.route,
+        "outcome" => outcome,
+        "cause" => decision.cause.name(),
+        "target" => decision.target.and_then(|key| target_id(core, key)),
+        "load" => decision.load,
+        "copies" => decision.segment.copies,
+        "as_of" => decision.as_of,
+        "version" => decision.version,
+        "age_ms" => millis(decision.age));
+}
+
+/// A line for decisions that were left out.
+pub fn omitted(log: &slog::Logger, count: u64) {
+    slog::warn!(log, "flow lines left out"; "count" => count);
+}
+
+/// A line for a change of a belief or a dependency.
+pub fn event(log: &slog::Logger, core: &core::Core, now: time::Instant, event: &core::Event) {
+    match event {
+        core::Event::Facts(change, origin) => facts(log, core, now, change, *origin),
+        core::Event::Peer(change) => peer(log, core, now, *change),
+        core::Event::Publisher(reachable) => {
+            let as_of = core.beliefs.as_of;
+            slog::info!(log, "platform"; "reachable" => reachable, "as_of" => as_of);
+        }
+        core::Event::Suspects(zones) => {
+            slog::warn!(log, "suspect zones"; "zones" => zones.join(","));
+        }
+        core::Event::Target(key, usable) => {
+            let target = target_id(core, *key);
+            slog::info!(log, "target evidence"; "target" => target, "usable" => usable);
+        }
+        core::Event::Watching(watching) => {
+            let age = core.beliefs.age(now).map(millis);
+            slog::info!(log, "watch"; "watching" => watching, "age_ms" => age);
+        }
+    }
+}
+
+fn facts(
+    log: &slog::Logger,
+    core: &core::Core,
+    now: time::Instant,
+    change: &beliefs::Change,
+    origin: core::Origin,
+) {
+    let as_of = core.beliefs.as_of;
+    let age = core.beliefs.age(now).map(millis);
+    let origin = match origin {
+        core::Origin::Peer(address) => address.to_string(),
+        core::Origin::Publisher => "platform".to_owned(),
+    };
+    match change {
+        beliefs::Change::Config(version) => {
+            slog::info!(log, "configuration"; "version" => version, "as_of" => as_of,
+                "age_ms" => age, "from" => origin);
+        }
+        beliefs::Change::Confirmed(gap) => {
+            slog::warn!(log, "facts confirmed after an outage"; "gap_ms" => millis(*gap),
+                "as_of" => as_of, "from" => origin);
+        }
+        beliefs::Change::Target(key) => {
+            let Some(record) = core.beliefs.targets.get(*key) else {
+                return;
+            };
+            slog::info!(log, "target"; "target" => target_id(core, *key),
+                "standing" => ?record.presence, "duty" => ?record.details.duty,
+                "address" => %record.details.address,
+                "service" => record.details.service.as_str(),
+                "zone" => record.details.zone.as_str(),
+                "revision" => record.revision, "age_ms" => age, "from" => origin);
+        }
+    }
+}
+
+fn peer(log: &slog::Logger, core: &core::Core, now: time::Instant, change: peers::Change) {
+    let (key, state) = match change {
+        peers::Change::Appeared(key) => (key, "alive"),
+        peers::Change::Leaving(key) => (key, "leaving"),
+        peers::Change::Silent(key) => (key, "silent"),
+    };
+    if let Some(peer) = core.peers.known.get(key) {
+        slog::info!(log, "peer"; "peer" => peer.beat.name.as_str(), "address" => %peer.address,
+            "state" => state, "zone" => peer.beat.zone.as_str(),
+            "silent_ms" => millis(now.since(peer.heard)), "as_of" => peer.beat.as_of);
+    }
+}
+
+/// A line for a failed call to the platform.
+pub fn call_failed(log: &slog::Logger, report: &error_stack::Report<fault::Fault>) {
+    slog::warn!(log, "platform call failed"; "code" => %fault::code(report),
+        "why" => fault::texts(report).join("; "));
+}
--- /dev/null
+++ b/lib/src/transport/cookie/node.rs
@@ -0,0 +1,239 @@
+//! Starts the threads of an instance that forwards by cookie and connects them.
+
+use std::net::{TcpListener, UdpSocket};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender, bounded};
+
+use crate::coordination::cookie::{core, forward};
+use crate::protocol::{cookie_settings, fault, status};
+use crate::state::{code, count, key, random, snapshot, time};
+use crate::transport::cookie::{control, front, traffic};
+use crate::transport::{batch, clock, log, node, page, transfer, watch};
+
+/// Events that may wait for the control thread.
+const EVENT_QUEUE: usize = 1_024;
+/// Commands that may wait for a traffic thread.
+const COMMAND_QUEUE: usize = 16;
+/// Longest wait for the control thread to make an offer.
+const OFFER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Largest heartbeat: loads of thousands of targets.
+const MAX_BEAT_BYTES: usize = 64 << 10;
+/// Longest wait after failed calls to the platform; short, since an outage must be seen to end.
+const BACKOFF_MAX: time::Duration = time::Duration::from_secs(1);
+/// Interval at which a thread that waits for a socket looks up.
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3_600);
+
+/// Starts an instance. Errors are `SocketUnavailable`.
+pub fn start(
+    settings: &cookie_settings::Settings,
+    settings_file: &Path,
+    codec: front::Codec,
+    source: front::Source,
+    seed: u64,
+) -> fault::Result<node::Node<control::Event>> {
+    let clock = clock::Clock::start();
+    let (events, event_queue) = bounded(EVENT_QUEUE);
+    let instance = &settings.instance;
+    let log = log::start(settings.log.format, &instance.name, &instance.zone);
+    let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+    let status = Arc::new(ArcSwap::from_pointee(status::Status::default()));
+    let revision = Arc::new(AtomicU64::new(0));
+    let mut random = random::Source::new(seed);
+    let incarnation = random.below(usize::MAX) as u64;
+
+    let bind = |address, timeout| {
+        batch::bind(address, timeout)
+            .map_err(|error| node::unavailable(format!("{address}: {error}")))
+    };
+    let socket = bind(instance.traffic, traffic::TICK)?;
+    let (commands, command_queue) = bounded(COMMAND_QUEUE);
+    let shard = forward::Shard::new(settings.flow_secret);
+    let counters = vec![Arc::clone(&shard.counters), Arc::default()];
+    let to_control = events.clone();
+    let parts = traffic::Parts {
+        clock,
+        codec,
+        commands: command_queue,
+        events: Box::new(move |event| {
+            to_control
+                .try_send(control::Event::Traffic(0, event))
+                .is_ok()
+        }),
+        shard,
+        snapshot: Arc::clone(&snapshot),
+        socket,
+    };
+    let traffic_log = log.clone();
+    node::spawn("traffic", move || {
+        if let Err(error) = traffic::run(parts) {
+            slog::error!(traffic_log, "traffic thread ended"; "error" => %error);
+        }
+    })?;
+
+    let socket = bind(instance.control, READ_TIMEOUT)?;
+    listen(&socket, events.clone(), Arc::clone(&counters[1]))?;
+    offer(settings, events.clone())?;
+    let fetches = fetch(settings, events.clone())?;
+    let watch = watch(
+        source,
+        clock,
+        random.below(usize::MAX) as u64,
+        &revision,
+        &events,
+    )?;
+    serve_pages(settings, Arc::clone(&status))?;
+    slog::info!(log, "started"; "control" => %instance.control, "traffic" => %instance.traffic,
+        "seeds" => settings.seeds.len(), "release" => env!("CARGO_PKG_VERSION"));
+
+    let config = core::Config {
+        address: instance.control,
+        incarnation,
+        name: instance.name.clone(),
+        zone: instance.zone.clone(),
+    };
+    let core = core::Core::new(config, settings.seeds.clone(), 1, random, clock.now());
+    let parts = control::Parts {
+        clock,
+        core,
+        counters,
+        events: event_queue,
+        fetches,
+        log,
+        revision,
+        ring: settings.ring.clone(),
+        settings: settings.clone(),
+        settings_file: settings_file.to_owned(),
+        snapshot,
+        socket,
+        status,
+        threads: vec![commands],
+        watch,
+    };
+    let control = node::spawn("control", move || control::run(parts))?;
+    Ok(node::Node::new(control, events))
+}
+
+/// Hands the datagrams of the control socket to the control thread.
+fn listen(
+    socket: &UdpSocket,
+    events: Sender<control::Event>,
+    counters: Arc<count::Set>,
+) -> fault::Result<()> {
+    let socket = socket.try_clone().map_err(node::unavailable)?;
+    node::spawn("heartbeats", move || {
+        let mut buffer = vec![0; MAX_BEAT_BYTES];
+        loop {
+            if let Ok((length, from)) = socket.recv_from(&mut buffer) {
+                let event = control::Event::Datagram(from, buffer[..length].to_vec());
+                if events.try_send(event).is_err() {
+                    // A heartbeat that finds the queue full is as good as lost; another follows.
+                    counters.increment(count::Counter::EventLost);
+                }
+            }
+        }
+    })
+    .map(drop)
+}
+
+/// Answers other instances that ask for facts.
+fn offer(
+    settings: &cookie_settings::Settings,
+    events: Sender<control::Event>,
+) -> fault::Result<()> {
+    let address = settings.instance.control;
+    let listener = TcpListener::bind(address)
+        .map_err(|error| node::unavailable(format!("{address}: {error}")))?;
+    let ring = settings.ring.clone();
+    node::spawn("offers", move || {
+        transfer::serve(&listener, &ring, key::Instance(0), |since| {
+            let (answer, answers) = bounded(1);
+            events.send(control::Event::Offer(since, answer)).ok()?;
+            answers.recv_timeout(OFFER_TIMEOUT).ok()
+        });
+    })
+    .map(drop)
+}
+
+/// Fetches facts from other instances.
+fn fetch(
+    settings: &cookie_settings::Settings,
+    events: Sender<control::Event>,
+) -> fault::Result<Sender<(std::net::SocketAddr, u64)>> {
+    let (fetches, queue) = bounded(1);
+    let (ring, from) = (settings.ring.clone(), settings.instance.control.ip());
+    node::spawn("fetch", move || {
+        for (address, since) in queue {
+            let outcome = transfer::fetch(from, address, &ring, key::Instance(0), since);
+            if events
+                .send(control::Event::Fetched(address, outcome))
+                .is_err()
+            {
+                return;
+            }
+        }
+    })?;
+    Ok(fetches)
+}
+
+/// Watches the platform while the control thread wants it.
+fn watch(
+    mut source: front::Source,
+    clock: clock::Clock,
+    seed: u64,
+    revision: &Arc<AtomicU64>,
+    events: &Sender<control::Event>,
+) -> fault::Result<Sender<bool>> {
+    let (watch, wanted): (Sender<bool>, Receiver<bool>) = bounded(COMMAND_QUEUE);
+    let (revision, events) = (Arc::clone(revision), events.clone());
+    let mut lost_history = false;
+    let next = move || {
+        let since = if lost_history {
+            0
+        } else {
+            revision.load(Ordering::Relaxed)
+        };
+        let reading = source(since);
+        lost_history = match &reading {
+            Ok(_) => false,
+            Err(report) => lost_history || fault::code(report) == code::Code::PlatformHistory,
+        };
+        reading.map(|reading| watch::Answer {
+            pause: reading.pause,
+            found: Some(reading),
+        })
+    };
+    node::spawn("watch", move || {
+        let random = random::Source::new(seed);
+        watch::run(&wanted, random, BACKOFF_MAX, next, |outcome| {
+            // The control thread ends only with the process.
+            let _ = events.send(control::Event::Platform(clock.now(), outcome));
+        });
+    })?;
+    Ok(watch)
+}
+
+/// Serves the pages for operators and the fabric.
+fn serve_pages(
+    settings: &cookie_settings::Settings,
+    status: Arc<ArcSwap<status::Status>>,
+) -> fault::Result<()> {
+    let handler: page::Handler = Arc::new(move |request| {
+        let status = status.load();
+        match request.path.as_str() {
+            "/live" => page::text(200, "live\n"),
+            "/ready" if status.ready => page::text(200, "ready\n"),
+            "/ready" => page::text(503, format!("{}\n", code::Code::NotReady)),
+            "/status" => page::json(&**status),
+            "/metrics" => page::text(200, status::metrics(&status)),
+            _ => page::text(404, format!("{}\n", code::Code::NotFound)),
+        }
+    });
+    page::serve(
+        &[settings.instance.status, settings.instance.metrics],
+        handler,
+    )
+}
--- /dev/null
+++ b/lib/src/transport/cookie/traffic.rs
@@ -0,0 +1,175 @@
+//! A traffic thread that forwards by cookie.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::Receiver;
+use hdrhistogram::Histogram;
+
+use crate::coordination::cookie::forward;
+use crate::state::{count, snapshot, time};
+use crate::transport::cookie::front;
+use crate::transport::{batch, clock, pump, timer, traffic};
+
+/// Time between passes over the evidence; also the longest wait for a packet.
+pub const TICK: time::Duration = time::Duration::from_millis(100);
+/// Time between reports to the control thread.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// What a traffic thread tells the control thread.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// What there is to tell of flows and targets.
+    Report(forward::Report),
+    /// Times to handle a batch, in microseconds.
+    Times(Histogram<u64>),
+}
+
+/// What the control thread asks of a traffic thread.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// End.
+    Stop,
+}
+
+/// What a traffic thread is made of.
+pub struct Parts {
+    /// Clock of the process.
+    pub clock: clock::Clock,
+    /// Packet format.
+    pub codec: front::Codec,
+    /// Commands from the control thread.
+    pub commands: Receiver<Command>,
+    /// Tells the control thread of events; returns whether its queue took the event.
+    pub events: Box<dyn Fn(Event) -> bool + Send>,
+    /// Decisions.
+    pub shard: forward::Shard,
+    /// The picture in force.
+    pub snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    /// The thread's socket.
+    pub socket: UdpSocket,
+}
+
+struct Worker {
+    batch_times: Histogram<u64>,
+    head: Vec<u8>,
+    parts: Parts,
+    sender: batch::Sender,
+    snapshot: Arc<snapshot::Snapshot>,
+}
+
+/// Runs a traffic thread until it is told to stop.
+pub fn run(parts: Parts) -> io::Result<()> {
+    let clock = parts.clock;
+    let now = clock.now();
+    let snapshot = parts.snapshot.load_full();
+    let mut worker = Worker {
+        batch_times: traffic::new_histogram(),
+        head: Vec::new(),
+        parts,
+        sender: batch::Sender::default(),
+        snapshot,
+    };
+    let mut timers = timer::Service::<Worker>::default();
+    timers.subscribe(now, TICK, |worker, now| {
+        worker.parts.shard.tick(&worker.snapshot, now);
+    });
+    timers.subscribe(now, REPORT_INTERVAL, Worker::report);
+    let steps = pump::Steps {
+        begin: |worker: &mut Worker, _, _| {
+            worker.refresh();
+            Ok(())
+        },
+        datagram: Worker::handle,
+        finish: Worker::finish,
+        socket: |worker| &worker.parts.socket,
+    };
+    pump::traffic(clock, &mut worker, timers, &steps)
+}
+
+impl Worker {
+    fn refresh(&mut self) {
+        let latest = self.parts.snapshot.load();
+        if latest.generation != self.snapshot.generation {
+            self.snapshot = Arc::clone(&latest);
+        }
+    }
+
+    fn count(&self, counter: count::Counter) {
+        self.parts.shard.counters.increment(counter);
+    }
+
+    fn handle(&mut self, receiver: &batch::Receiver, index: usize, now: time::Instant) {
+        if receiver.is_oversized(index) {
+            self.count(count::Counter::DropOversized);
+            return;
+        }
+        let bytes = receiver.bytes(index);
+        let Some(segment) = (self.parts.codec.decode)(bytes) else {
+            self.count(count::Counter::DropMalformed);
+            return;
+        };
+        match self.parts.shard.steer(&self.snapshot, now, &segment) {
+            forward::Verdict::Drop(reason) => self.count(reason),
+            forward::Verdict::Forward(key) => {
+                let Some(target) = self.snapshot.target(key) else {
+                    self.count(count::Counter::DropNoTarget);
+                    return;
+                };
+                self.head.clear();
+                let rest = (self.parts.codec.envelope)(bytes, target, &mut self.head);
+                let body = batch::Body::Slot(index, rest..bytes.len());
+                let to = SocketAddr::V4(target.address);
+                self.sender.push(&self.head, body, to);
+            }
+            forward::Verdict::Reset => {
+                self.count(count::Counter::Refused);
+                let reset = (self.parts.codec.reset)(&segment);
+                let to = SocketAddr::V4(segment.caller);
+                self.sender
+                    .push(&[], batch::Body::Owned(reset), self.reply_address(to));
+            }
+        }
+    }
+
+    /// Packets to a caller use the port at which this instance takes packets.
+    fn reply_address(&self, caller: SocketAddr) -> SocketAddr {
+        let own = self.parts.socket.local_addr();
+        SocketAddr::new(caller.ip(), own.map_or(caller.port(), |own| own.port()))
+    }
+
+    fn finish(&mut self, receiver: &batch::Receiver, began: time::Instant) -> bool {
+        if !self.sender.is_empty() {
+            let failed = self.sender.flush(&self.parts.socket, receiver);
+            let counters = &self.parts.shard.counters;
+            counters.add(count::Counter::SendFailed, failed as u64);
+        }
+        if receiver.count() > 0 {
+            let spent = self.parts.clock.now().since(began).as_micros() as u64;
+            self.batch_times.saturating_record(spent);
+        }
+        self.obey()
+    }
+
+    fn report(&mut self, now: time::Instant) {
+        let report = self.parts.shard.report(&self.snapshot, now);
+        self.tell(Event::Report(report));
+        if !self.batch_times.is_empty() {
+            let times = std::mem::replace(&mut self.batch_times, traffic::new_histogram());
+            self.tell(Event::Times(times));
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        if !(self.parts.events)(event) {
+            self.count(count::Counter::EventLost);
+        }
+    }
+
+    /// Whether the thread goes on.
+    fn obey(&self) -> bool {
+        !matches!(self.parts.commands.try_recv(), Ok(Command::Stop))
+    }
+}
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -1,4 +1,4 @@
-//! Requests to the pages of instances and stand-ins.
+//! Requests over HTTP: to the pages of instances and stand-ins, and to the platform.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -6,24 +6,76 @@
 use crate::protocol::fault;
 use crate::state::code;
 
+/// Longest wait for a page of an instance.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An answer, whatever its status.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Body.
+    pub body: String,
+    /// Status.
+    pub status: u16,
+}
+
+/// A client of one server that keeps its connection.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    agent: ureq::Agent,
+    limit: u64,
+    unreachable: code::Code,
+}
+
+impl Client {
+    /// A client whose calls end after `timeout` and take at most `limit` bytes; a call without an
+    /// answer gives `unreachable`.
+    pub fn new(
+        address: SocketAddr,
+        timeout: Duration,
+        limit: u64,
+        unreachable: code::Code,
+    ) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .proxy(None)
+            .http_status_as_error(false)
+            .timeout_global(Some(timeout))
+            .build()
+            .new_agent();
+        Self {
+            address,
+            agent,
+            limit,
+            unreachable,
+        }
+    }
+
+    /// Gets a path. The error is the client's code for no answer.
+    pub fn get(&self, path: &str) -> fault::Result<Reply> {
+        let url = format!("http://{}{path}", self.address);
+        let failed =
+            |error: ureq::Error| fault::report(self.unreachable, format!("{url}: {error}"));
+        let mut answer = self.agent.get(&url).call().map_err(failed)?;
+        let status = answer.status().as_u16();
+        let body = answer.body_mut().with_config().limit(self.limit);
+        Ok(Reply {
+            body: body.read_to_string().map_err(failed)?,
+            status,
+        })
+    }
+}
+
 /// Gets a page as text. Errors are `InstanceUnreachable`.
 pub fn get(address: SocketAddr, path: &str) -> fault::Result<String> {
-    const TIMEOUT: Duration = Duration::from_secs(3);
-    let url = format!("http://{address}{path}");
-    let unreachable = |error: ureq::Error| {
-        fault::report(code::Code::InstanceUnreachable, format!("{url}: {error}"))
-    };
-    ureq::Agent::config_builder()
-        .proxy(None)
-        .timeout_global(Some(TIMEOUT))
-        .build()
-        .new_agent()
-        .get(&url)
-        .call()
-        .map_err(unreachable)?
-        .body_mut()
-        .read_to_string()
-        .map_err(unreachable)
+    const MAX_PAGE_BYTES: u64 = 10 << 20;
+    let unreachable = code::Code::InstanceUnreachable;
+    let reply = Client::new(address, PAGE_TIMEOUT, MAX_PAGE_BYTES, unreachable).get(path)?;
+    if reply.status < 400 {
+        Ok(reply.body)
+    } else {
+        let text = format!("http://{address}{path}: status {}", reply.status);
+        Err(fault::report(unreachable, text))
+    }
 }
 
 /// Gets a page of JSON. Errors are `InstanceUnreachable`.
--- a/lib/src/transport/log.rs
+++ b/lib/src/transport/log.rs
@@ -4,26 +4,36 @@
 
 use crate::protocol::settings;
 
-/// A logger that writes to standard error on a thread of its own.
-pub fn start(format: settings::Format, instance: u16, zone: &str) -> slog::Logger {
+/// Lines that may wait to be written.
+const QUEUED_LINES: usize = 512;
+
+/// A logger that writes to standard output on a thread of its own.
+pub fn start(format: settings::Format, instance: &str, zone: &str) -> slog::Logger {
     let drain = match format {
-        settings::Format::Json => {
-            slog_async::Async::new(slog_json::Json::default(std::io::stderr()).fuse())
-                .build()
-                .fuse()
-        }
+        settings::Format::Json => start_thread(slog_json::Json::default(std::io::stdout()).fuse()),
         settings::Format::Text => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(std::io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            slog_async::Async::new(drain).build().fuse()
+            start_thread(drain)
         }
     };
     slog::Logger::root(
         drain,
-        slog::o!("instance" => instance, "zone" => zone.to_owned()),
+        slog::o!("instance" => instance.to_owned(), "zone" => zone.to_owned()),
     )
 }
 
+/// Lines that find the queue full are dropped and counted in the next line, so that no thread waits.
+fn start_thread(
+    drain: impl slog::Drain<Ok = (), Err = slog::Never> + Send + 'static,
+) -> slog::Fuse<slog_async::Async> {
+    let builder = slog_async::Async::new(drain).chan_size(QUEUED_LINES);
+    builder
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse()
+}
+
 /// A logger that writes nothing.
 pub fn none() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod clock;
 pub mod control;
+pub mod cookie;
 pub mod files;
 pub mod http;
 pub mod log;
@@ -11,6 +12,8 @@
 pub mod page;
 pub mod platform;
 pub mod probe;
+pub mod pump;
 pub mod timer;
 pub mod traffic;
 pub mod transfer;
+pub mod watch;
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -8,11 +8,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
-use crate::coordination::{burn, control, health, membership, placement, share, steering};
+use crate::coordination::{burn, control, health, membership, message, placement, share, steering};
 use crate::protocol::{fault, settings, status, wire};
 use crate::state::{code, count, key, random, time, view};
 use crate::transport::{
     batch, clock, control as control_thread, log, lookup, page, platform, probe, traffic, transfer,
+    watch,
 };
 
 /// Events that may wait for the control thread.
@@ -24,28 +25,21 @@
 /// Longest heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 
-/// A running instance.
-pub struct Node {
+/// A running instance whose control thread takes events of type `E`.
+pub struct Node<E> {
     control: thread::JoinHandle<()>,
-    stopper: Stopper,
+    events: Sender<E>,
 }
 
-/// Begins the planned stop of an instance.
-#[derive(Clone)]
-pub struct Stopper(Sender<control_thread::Event>);
-
-impl Stopper {
-    /// Begins the planned stop; a second call changes nothing.
-    pub fn stop(&self) {
-        // The instance may have stopped already.
-        let _ = self.0.send(control_thread::Event::Stop);
+impl<E> Node<E> {
+    /// An instance from its control thread and the queue of its events.
+    pub fn new(control: thread::JoinHandle<()>, events: Sender<E>) -> Self {
+        Self { control, events }
     }
-}
 
-impl Node {
-    /// What begins the planned stop.
-    pub fn stopper(&self) -> Stopper {
-        self.stopper.clone()
+    /// What takes events for the control thread, such as the begin of a planned stop.
+    pub fn events(&self) -> Sender<E> {
+        self.events.clone()
     }
 
     /// Waits until the planned stop is complete.
@@ -55,11 +49,13 @@
     }
 }
 
-fn unavailable(what: impl std::fmt::Display) -> error_stack::Report<fault::Fault> {
+/// A report that something of the system could not be had.
+pub fn unavailable(what: impl std::fmt::Display) -> error_stack::Report<fault::Fault> {
     fault::report(code::Code::SocketUnavailable, what.to_string())
 }
 
-fn spawn<T: Send + 'static>(
+/// Starts a named thread. Errors are `SocketUnavailable`.
+pub fn spawn<T: Send + 'static>(
     name: &str,
     run: impl FnOnce() -> T + Send + 'static,
 ) -> fault::Result<thread::JoinHandle<T>> {
@@ -70,7 +66,10 @@
 }
 
 /// Starts an instance. Errors are `SocketUnavailable`.
-pub fn start(settings: &settings::Settings, seed: u64) -> fault::Result<Node> {
+pub fn start(
+    settings: &settings::Settings,
+    seed: u64,
+) -> fault::Result<Node<control_thread::Event>> {
     let clock = clock::Clock::start();
     let self_key = key::Instance(settings.instance.number);
     let (events, event_queue) = bounded(EVENT_QUEUE);
@@ -85,12 +84,12 @@
     )));
     let log = log::start(
         settings.log.format,
-        settings.instance.number,
+        &settings.instance.number.to_string(),
         &settings.instance.zone,
     );
     let status = Arc::new(ArcSwap::from_pointee(status::Status::default()));
     let burn = Arc::new(ArcSwap::from_pointee(burn::Report::default()));
-    let offer: transfer::Offer = Arc::new(ArcSwapOption::empty());
+    let offer = Arc::new(ArcSwapOption::empty());
     let revision = Arc::new(AtomicU64::new(0));
 
     let mut counters = Vec::new();
@@ -153,10 +152,7 @@
         watch,
     };
     let control = spawn("control", move || control_thread::run(parts))?;
-    Ok(Node {
-        control,
-        stopper: Stopper(events),
-    })
+    Ok(Node::new(control, events))
 }
 
 fn control_config(settings: &settings::Settings, self_key: key::Instance) -> control::Config {
@@ -239,12 +235,12 @@
     address: SocketAddr,
     ring: wire::Ring,
     self_key: key::Instance,
-    offer: transfer::Offer,
+    offer: Arc<ArcSwapOption<message::Bundle>>,
 ) -> fault::Result<()> {
     let listener =
         TcpListener::bind(address).map_err(|error| unavailable(format!("{address}: {error}")))?;
     spawn("transfer", move || {
-        transfer::serve(&listener, &ring, self_key, &offer);
+        transfer::serve(&listener, &ring, self_key, |_| offer.load_full());
     })
     .map(drop)
 }
@@ -286,15 +282,15 @@
     events: Sender<control_thread::Event>,
 ) -> fault::Result<Sender<bool>> {
     let (watch, wanted) = bounded(COMMAND_QUEUE);
-    let client = platform::Client::new(settings.platform.address, settings.platform.watch);
+    let mut client = platform::Client::new(settings.platform.address, settings.platform.watch);
     spawn("watch", move || {
-        platform::run(
-            &client,
+        watch::run(
             &wanted,
             random::Source::new(seed),
-            || revision.load(Ordering::Relaxed),
-            |finding| {
-                let _ = events.send(control_thread::Event::Platform(finding));
+            platform::BACKOFF_MAX,
+            || client.next(revision.load(Ordering::Relaxed)),
+            |outcome| {
+                let _ = events.send(control_thread::Event::Platform(outcome));
             },
         );
     })?;
@@ -323,5 +319,5 @@
             _ => page::text(404, format!("{}\n", code::Code::NotFound)),
         }
     });
-    page::serve(settings.instance.status, handler)
+    page::serve(&[settings.instance.status], handler)
 }
--- a/lib/src/transport/page.rs
+++ b/lib/src/transport/page.rs
@@ -105,28 +105,34 @@
     }
 }
 
-/// Serves pages at an address on a thread of its own. Errors are `SocketUnavailable`.
-pub fn serve(address: SocketAddr, handler: Handler) -> fault::Result<()> {
-    let listener = std::net::TcpListener::bind(address).map_err(|error| {
-        fault::report(code::Code::SocketUnavailable, format!("{address}: {error}"))
-    })?;
+/// Serves pages at addresses on a thread of their own. Errors are `SocketUnavailable`.
+pub fn serve(addresses: &[SocketAddr], handler: Handler) -> fault::Result<()> {
+    let unavailable = |error: String| fault::report(code::Code::SocketUnavailable, error);
+    let listeners = addresses
+        .iter()
+        .map(|address| {
+            std::net::TcpListener::bind(address)
+                .map_err(|error| unavailable(format!("{address}: {error}")))
+        })
+        .collect::<fault::Result<Vec<std::net::TcpListener>>>()?;
     std::thread::Builder::new()
         .name("pages".to_owned())
-        .spawn(move || run(listener, handler))
+        .spawn(move || run(listeners, handler))
         .map(drop)
-        .map_err(|error| fault::report(code::Code::SocketUnavailable, error.to_string()))
+        .map_err(|error| unavailable(error.to_string()))
 }
 
-fn run(listener: std::net::TcpListener, handler: Handler) -> std::io::Result<()> {
-    App::new()
+fn run(listeners: Vec<std::net::TcpListener>, handler: Handler) -> std::io::Result<()> {
+    let mut server = App::new()
         .with_state(handler)
         .at("/", handler_service(answer))
         .at("/{*rest}", handler_service(answer))
         .serve()
         .disable_signal()
         .server_threads(1)
-        .worker_threads(1)
-        .listen(listener)?
-        .run()
-        .wait()
+        .worker_threads(1);
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    server.run().wait()
 }
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -15,7 +15,7 @@
 use crate::coordination::{hash, load, message, replica, steering};
 use crate::protocol::{ip, wire};
 use crate::state::{count, key, packet, time, view};
-use crate::transport::{batch, clock, timer};
+use crate::transport::{batch, clock, pump, timer};
 
 /// Longest wait for a packet, and the period of the shard's own work.
 const TICK: time::Duration = time::Duration::from_millis(10);
@@ -148,31 +148,13 @@
     timers.subscribe(now, DECAY_INTERVAL, |worker, _| {
         worker.parts.shard.load().decay(DECAY_KEEP);
     });
-    let mut receiver = batch::Receiver::default();
-    let mut ran = now;
-    loop {
-        receiver.receive(&worker.parts.socket)?;
-        worker.refresh_view();
-        let now = clock.now();
-        if now.since(ran) > steering::STALE_AFTER {
-            worker.drop_backlog(&mut receiver)?;
-        }
-        ran = now;
-        for index in 0..receiver.count() {
-            worker.handle(&receiver, index, now);
-        }
-        timers.run(&mut worker, now);
-        worker.send_released();
-        worker.send_messages();
-        worker.flush(&receiver);
-        if receiver.count() > 0 {
-            let spent = clock.now().since(now).as_micros() as u64;
-            worker.batch_times.saturating_record(spent);
-        }
-        if !worker.obey() {
-            return Ok(());
-        }
-    }
+    let steps = pump::Steps {
+        begin: Worker::begin,
+        datagram: Worker::handle,
+        finish: Worker::finish,
+        socket: |worker| &worker.parts.socket,
+    };
+    pump::traffic(clock, &mut worker, timers, &steps)
 }
 
 impl Worker {
@@ -187,6 +169,25 @@
         }
     }
 
+    fn begin(&mut self, receiver: &mut batch::Receiver, gap: time::Duration) -> io::Result<()> {
+        self.refresh_view();
+        if gap > steering::STALE_AFTER {
+            self.drop_backlog(receiver)?;
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, receiver: &batch::Receiver, began: time::Instant) -> bool {
+        self.send_released();
+        self.send_messages();
+        self.flush(receiver);
+        if receiver.count() > 0 {
+            let spent = self.parts.clock.now().since(began).as_micros() as u64;
+            self.batch_times.saturating_record(spent);
+        }
+        self.obey()
+    }
+
     /// Drops all that waited while the thread was paused. A pause often ends the wait for packets
     /// with an empty batch, so the socket is read until it has no more than one batch.
     fn drop_backlog(&mut self, receiver: &mut batch::Receiver) -> io::Result<()> {
@@ -447,7 +448,7 @@
 }
 
 /// A histogram of microseconds up to a minute.
-fn new_histogram() -> Histogram<u64> {
+pub fn new_histogram() -> Histogram<u64> {
     const MAX_MICROS: u64 = 60_000_000;
     const DIGITS: u8 = 2;
     Histogram::new_with_max(MAX_MICROS, DIGITS).expect("constant bounds are valid")
--- a/lib/src/transport/transfer.rs
+++ b/lib/src/transport/transfer.rs
@@ -1,25 +1,20 @@
-//! Transfer of the accepted sheet between instances: one framed request and one framed answer over
-//! TCP.
+//! Transfer of published facts between instances: one framed request and one framed answer over TCP.
 
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use serde::{Deserialize, Serialize};
 
 use crate::coordination::message;
 use crate::protocol::{fault, wire};
 use crate::state::{code, key};
 
 /// Longest wait for one read or write.
-const TIMEOUT: Duration = Duration::from_secs(2);
+const TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest frame: a sheet of many documents of the largest size.
 const MAX_FRAME_BYTES: u32 = 64 << 20;
 
-/// The documents that this instance has accepted.
-pub type Offer = Arc<ArcSwapOption<message::Bundle>>;
-
 fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
     stream.write_all(&(frame.len() as u32).to_be_bytes())?;
     stream.write_all(frame)
@@ -42,28 +37,33 @@
     stream.set_write_timeout(Some(TIMEOUT))
 }
 
-/// Answers requests on a listener, one after the other, for the life of the process.
-pub fn serve(listener: &TcpListener, ring: &wire::Ring, self_key: key::Instance, offer: &Offer) {
+/// Answers requests on a listener, one after the other, for the life of the process. `offer` gives
+/// what there is above a revision.
+pub fn serve<T: Serialize>(
+    listener: &TcpListener,
+    ring: &wire::Ring,
+    self_key: key::Instance,
+    offer: impl Fn(u64) -> Option<T>,
+) {
     for stream in listener.incoming().flatten() {
         // A request that fails is repeated by the instance that made it.
-        let _ = answer(stream, ring, self_key, offer);
+        let _ = answer(stream, ring, self_key, &offer);
     }
 }
 
-fn answer(
+fn answer<T: Serialize>(
     mut stream: TcpStream,
     ring: &wire::Ring,
     self_key: key::Instance,
-    offer: &Offer,
+    offer: &impl Fn(u64) -> Option<T>,
 ) -> io::Result<()> {
     const MAX_REQUEST_BYTES: u32 = 256;
     prepare(&stream)?;
     let request = read_frame(&mut stream, MAX_REQUEST_BYTES)?;
-    if wire::decode::<message::Fetch>(ring, &request).is_err() {
+    let Ok((_, fetch)) = wire::decode::<message::Fetch>(ring, &request) else {
         return Ok(());
-    }
-    let bundle = offer.load_full();
-    let frame = wire::encode(ring, wire::Kind::Fetch, self_key, &bundle.as_deref());
+    };
+    let frame = wire::encode(ring, wire::Kind::Fetch, self_key, &offer(fetch.above));
     write_frame(&mut stream, &frame)
 }
 
@@ -79,15 +79,15 @@
     Ok(socket.into())
 }
 
-/// Fetches the sheet that a peer has accepted; none if it has none. Errors are
+/// Fetches what a peer has above a revision; none if it has nothing. Errors are
 /// `InstanceUnreachable` and `FrameEncoding`.
-pub fn fetch(
+pub fn fetch<T: for<'a> Deserialize<'a>>(
     from: IpAddr,
     address: SocketAddr,
     ring: &wire::Ring,
     self_key: key::Instance,
     above: u64,
-) -> fault::Result<Option<message::Bundle>> {
+) -> fault::Result<Option<T>> {
     let unreachable = |error: io::Error| {
         fault::report(
             code::Code::InstanceUnreachable,
@@ -99,11 +99,11 @@
     let request = wire::encode(ring, wire::Kind::Fetch, self_key, &message::Fetch { above });
     write_frame(&mut stream, &request).map_err(unreachable)?;
     let frame = read_frame(&mut stream, MAX_FRAME_BYTES).map_err(unreachable)?;
-    let (_, bundle) = wire::decode::<Option<message::Bundle>>(ring, &frame).map_err(|_| {
+    let (_, offer) = wire::decode::<Option<T>>(ring, &frame).map_err(|_| {
         fault::report(
             code::Code::FrameEncoding,
-            format!("{address}: sheet cannot be read"),
+            format!("{address}: answer cannot be read"),
         )
     })?;
-    Ok(bundle)
+    Ok(offer)
 }
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -119,7 +119,7 @@
     let shared = Arc::new(Mutex::new((Report::default(), false)));
     let pages = Arc::clone(&shared);
     page::serve(
-        config.admin,
+        &[config.admin],
         Arc::new(move |request| {
             let mut shared = pages.lock().unwrap_or_else(PoisonError::into_inner);
             shared.1 |= request.path == "/stop";
--- a/standin/src/fabric.rs
+++ b/standin/src/fabric.rs
@@ -140,7 +140,7 @@
 
 fn serve_faults(address: SocketAddr, faults: Arc<Mutex<Faults>>) -> fault::Result<()> {
     page::serve(
-        address,
+        &[address],
         Arc::new(move |request| {
             let mut faults = faults.lock().unwrap_or_else(PoisonError::into_inner);
             let number = |name| {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -40,7 +40,7 @@
 pub fn start(address: SocketAddr) -> fault::Result<()> {
     let state = Arc::new(Mutex::new(State::default()));
     page::serve(
-        address,
+        &[address],
         Arc::new(move |request| {
             let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
             answer(&mut state, request)
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -132,7 +132,7 @@
 fn serve_health(target: &Target, reports: &Reports) -> fault::Result<()> {
     let (name, reports) = (target.name.clone(), Arc::clone(reports));
     page::serve(
-        target.health,
+        &[target.health],
         Arc::new(move |_| {
             let fault = lock(&reports)
                 .get(&name)
@@ -151,7 +151,7 @@
 
 fn serve_admin(address: SocketAddr, reports: Reports) -> fault::Result<()> {
     page::serve(
-        address,
+        &[address],
         Arc::new(move |request| {
             let mut reports = lock(&reports);
             if request.path == "/fault" {
