--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,11 +1,13 @@
 //! `quetzald`: one instance of the load balancer.
 
+use std::path::Path;
 use std::process::ExitCode;
 
-use quetzal_lib::protocol::{fault, settings};
+use quetzal_lib::protocol::{cookie_settings, fault, settings};
 use quetzal_lib::state::code;
-use quetzal_lib::transport::node;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use quetzal_lib::transport::{control, cookie, node};
+use quetzal_platform::{packet, store};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 const HELP: &str = "\
@@ -21,7 +23,8 @@
   -V, --version        Print the version
 
 Exit status: 0 after a planned stop, 1 on a failure, 2 on wrong arguments, 3 on wrong settings.
-`kill -TERM` begins a planned stop.
+`kill -TERM` begins a planned stop; `kill -HUP` looks at the settings of an instance that forwards by
+cookie, which also looks at them every two seconds.
 ";
 
 struct Arguments {
@@ -70,7 +73,41 @@
             format!("{}: {error}", arguments.settings),
         )
     })?;
-    let settings = settings::parse(&arguments.settings, &text)?;
+    if cookie_settings::is_format(&text) {
+        let settings = cookie_settings::parse(&arguments.settings, &text)?;
+        run_until_stopped(&arguments, |seed| {
+            let source = store::source(settings.platform.address, settings.platform.watch);
+            let file = Path::new(&arguments.settings);
+            Ok(Started {
+                node: cookie::node::start(&settings, file, packet::CODEC, source, seed)?,
+                reload: Some(|| cookie::control::Event::Reload),
+                stop: || cookie::control::Event::Stop,
+            })
+        })
+    } else {
+        let settings = settings::parse(&arguments.settings, &text)?;
+        run_until_stopped(&arguments, |seed| {
+            Ok(Started {
+                node: node::start(&settings, seed)?,
+                reload: None,
+                stop: || control::Event::Stop,
+            })
+        })
+    }
+}
+
+/// A started instance and the events that signals give to it.
+struct Started<E> {
+    node: node::Node<E>,
+    reload: Option<fn() -> E>,
+    stop: fn() -> E,
+}
+
+/// Starts an instance, unless its settings were only to be checked, and waits for its planned stop.
+fn run_until_stopped<E: Send + 'static>(
+    arguments: &Arguments,
+    start: impl FnOnce(u64) -> fault::Result<Started<E>>,
+) -> fault::Result<()> {
     if arguments.check {
         println!("{}: ok", arguments.settings);
         return Ok(());
@@ -79,14 +116,21 @@
         fault::report(code::Code::SocketUnavailable, format!("signals: {error}"))
     };
     // Signals are claimed before any thread starts, so that none is lost.
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(failed)?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(failed)?;
     let seed = arguments.seed.unwrap_or_else(clock_seed);
-    let node = node::start(&settings, seed)?;
+    let Started { node, reload, stop } = start(seed)?;
     let handle = signals.handle();
-    let stopper = node.stopper();
+    let events = node.events();
     std::thread::spawn(move || {
-        for _ in signals.forever() {
-            stopper.stop();
+        for signal in signals.forever() {
+            let event = match signal {
+                SIGHUP => reload.map(|reload| reload()),
+                _ => Some(stop()),
+            };
+            if let Some(event) = event {
+                // The instance may have stopped already.
+                let _ = events.send(event);
+            }
         }
     });
     node.wait();
