coordination: reset flows on targets that answer nothing; trust cookies without history

A target is now dead when two of its flows stall, one for 500 ms or more, none makes progress for 600 ms, and other targets answer. Test: packets_that_overtake_each_other. Test: an_instance_without_history_trusts_the_cookie.

--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -25,13 +25,16 @@
 /// Largest number of such waits.
 const STAGGER_LIMIT: usize = 6;
 /// Time after its start for which an instance that is no seed waits for the facts of a peer.
-const PEER_HEAD_START: time::Duration = time::Duration::from_millis(400);
+const PEER_HEAD_START: time::Duration = time::Duration::from_millis(150);
 /// Age up to which facts are good enough to refuse a flow by them; the bound in which a change must
 /// be in force is three seconds.
 const FRESH_FOR: time::Duration = time::Duration::from_millis(2_500);
 /// Time for which a registration must have been gone before its target counts as ended; a living
 /// target registers again within about two seconds.
 const ENDED_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Time after which this instance has seen every configuration under which a living flow can have been
+/// opened; the longest life of a flow, 60 s, and a margin.
+const HISTORY: time::Duration = time::Duration::from_secs(65);
 /// Longest wait for a fetch from a peer before another may begin.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -474,6 +477,7 @@
             routes,
             services: by_service,
             silent_zones: self.zones.iter().map(silent).collect(),
+            strict: now.since(self.started) >= HISTORY,
             targets,
             version: self.beliefs.version(),
             zone: Some(key::Zone(0)),
--- a/lib/src/coordination/cookie/evidence.rs
+++ b/lib/src/coordination/cookie/evidence.rs
@@ -9,12 +9,24 @@
 /// Time for which a target gets no new flows after it did not answer in time; long enough for the
 /// next repeats of its other flows to show whether it recovered.
 const AVOIDANCE: time::Duration = time::Duration::from_millis(2_000);
+/// The same for a target that answers nothing at all.
+const DEAD_AVOIDANCE: time::Duration = time::Duration::from_millis(4_000);
 /// Age at which a sign of life or of a stall no longer counts for a zone.
 const ZONE_WINDOW: time::Duration = time::Duration::from_millis(800);
 /// Stalled targets of a zone, none of which shows life, that make the zone suspect.
 const ZONE_STALLS: usize = 2;
-/// Stalls in a row that show that a target does not answer at all.
-const DEAD_STALLS: u32 = 3;
+/// Changes from one stalled flow to another since the last progress that show that a target answers
+/// nothing at all; a single flow may have its own trouble.
+const DEAD_FLOWS: u32 = 1;
+/// Time for which one of these flows must have waited; callers repeat after 200 ms and 600 ms, and
+/// one loss must not be enough.
+const DEAD_WAIT: time::Duration = time::Duration::from_millis(500);
+/// Time without progress before a target can be dead; above the time for which the longest request
+/// waits behind a full queue of a target in good order.
+const DEAD_AFTER: time::Duration = time::Duration::from_millis(600);
+/// Age of the last stall at which a target counts as living again until flows show otherwise; well
+/// below the time for which the users' rules excuse a target that was out of reach.
+const DEAD_MEMORY: time::Duration = time::Duration::from_millis(2_000);
 
 /// Evidence on one target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -27,20 +39,41 @@
     pub stalled: time::Instant,
     /// Stalls since the last progress.
     pub stalls: u32,
+    /// The flow that stalled last.
+    flow: u64,
+    /// Changes from one stalled flow to another since the last progress.
+    flows: u32,
+    /// Longest wait of a stalled flow since the last progress.
+    wait: time::Duration,
 }
 
 impl Evidence {
-    /// Notes that a flow got nothing new from the target in time.
-    pub fn stall(&mut self, now: time::Instant) {
-        self.avoid_until = now + AVOIDANCE;
+    /// Notes that a flow got nothing new from the target for a time.
+    pub fn stall(&mut self, now: time::Instant, flow: u64, waited: time::Duration) {
+        if self.stalls == 0 || now.since(self.stalled) >= DEAD_MEMORY {
+            self.stalls = 0;
+            self.flows = 0;
+            self.wait = time::Duration::ZERO;
+        } else if flow != self.flow {
+            self.flows = self.flows.saturating_add(1);
+        }
+        self.flow = flow;
+        self.wait = self.wait.max(waited);
         self.stalled = now;
         self.stalls = self.stalls.saturating_add(1);
+        let avoidance = if self.is_dead(now) {
+            DEAD_AVOIDANCE
+        } else {
+            AVOIDANCE
+        };
+        self.avoid_until = now + avoidance;
     }
 
     /// Notes that a flow got something new from the target.
     pub fn progress(&mut self, now: time::Instant) {
         self.progressed = now;
         self.stalls = 0;
+        self.flows = 0;
     }
 
     /// Whether the target gets no new flows.
@@ -48,9 +81,13 @@
         now < self.avoid_until
     }
 
-    /// Whether the target has not shown life for a while although flows waited for it.
+    /// Whether the target answers nothing at all: several of its flows stall and none makes
+    /// progress.
     pub fn is_dead(&self, now: time::Instant) -> bool {
-        self.stalls >= DEAD_STALLS && now.since(self.progressed) >= ZONE_WINDOW
+        self.flows >= DEAD_FLOWS
+            && self.wait >= DEAD_WAIT
+            && now.since(self.progressed) >= DEAD_AFTER
+            && now.since(self.stalled) < DEAD_MEMORY
     }
 }
 
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -4,9 +4,10 @@
 //! route ever led to that target's service. A copy of a first packet goes to another target than
 //! the one before, since a flow opens only at the target whose answer the caller takes.
 //!
-//! A flow is reset only where its target cannot have it any more or cannot be reached: the target
-//! has ended and this flow shows it, or the target's whole zone is cut off. A route whose requests
-//! run at most once is reset only in the first case, since its callers do not try again.
+//! A flow is reset only where its target cannot have it any more or answers nothing at all to
+//! several flows while other targets answer. A request that may run at most once and may have
+//! reached its target is never answered by a reset of ours before its target has certainly ended:
+//! only a request that was not forwarded at all is.
 
 use std::sync::Arc;
 
@@ -20,6 +21,25 @@
 /// says nothing about targets.
 const PAUSE: time::Duration = time::Duration::from_millis(400);
 
+/// Age of the last progress of any flow at which silence says more about this instance than about a
+/// target.
+const OTHERS_WINDOW: time::Duration = time::Duration::from_millis(300);
+
+/// Time after which data that comes again was sent again; callers repeat after 200 ms at the
+/// earliest, and packets that overtake each other are closer together.
+const REPEAT_AFTER: time::Duration = time::Duration::from_millis(150);
+
+/// What a later packet is to its flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    /// It begins a request, of which nothing was forwarded before.
+    New,
+    /// It carries data again, since nothing came back.
+    Repeated,
+    /// Neither is known.
+    Unknown,
+}
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -42,13 +62,28 @@
     NoTarget,
     /// There is no route at the address.
     NoRoute,
+    /// The target answers nothing.
+    Dead,
     /// The target has ended.
     Ended,
-    /// The zone of the target is cut off.
-    ZoneCut,
+    /// The route never led to the target that the cookie names.
+    ForeignCookie,
+    /// The facts are too old to refuse a flow that has no route in them.
+    OldFacts,
+    /// No target has the cookie.
+    UnknownCookie,
 }
 
 impl Cause {
+    /// What became of the packet, in logs.
+    pub fn outcome(self) -> &'static str {
+        match self {
+            Self::Placed | Self::Unanswered => "forwarded",
+            Self::ForeignCookie | Self::OldFacts | Self::UnknownCookie => "dropped",
+            Self::Dead | Self::Ended | Self::NoRoute | Self::NoTarget => "reset",
+        }
+    }
+
     /// Name in logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -56,8 +91,11 @@
             Self::Unanswered => "target did not answer",
             Self::NoTarget => "no target",
             Self::NoRoute => "no route",
+            Self::Dead => "target answers nothing",
             Self::Ended => "target ended",
-            Self::ZoneCut => "zone cut off",
+            Self::ForeignCookie => "target not of the route",
+            Self::OldFacts => "no route, facts too old",
+            Self::UnknownCookie => "no target has the cookie",
         }
     }
 }
@@ -111,6 +149,8 @@
     evidence: Vec<evidence::Evidence>,
     omitted: u64,
     paused_until: time::Instant,
+    /// When a flow of any target last made progress.
+    progressed: time::Instant,
     secret: hash::Secret,
     suspects: Vec<bool>,
     tally: tally::Tally,
@@ -156,6 +196,7 @@
         // Old facts may lack the route, and a later copy may find it.
         let certain = snapshot.fresh && segment.kind == packet::Kind::First;
         if !certain {
+            self.note(snapshot, now, flow, segment, Cause::OldFacts, None);
             return Verdict::Drop(count::Counter::DropUnknownAddress);
         }
         self.note(snapshot, now, flow, segment, Cause::NoRoute, None);
@@ -177,7 +218,8 @@
             if before.open || segment.copies <= before.copies {
                 return self.forward(before.target);
             }
-            self.mark_stall(now, before.target);
+            let waited = before.waiting_since.unwrap_or(now);
+            self.mark_stall(now, before.target, flow, now.since(waited));
             tried = [Some(before.target), before.tried[0]];
             cause = Cause::Unanswered;
         }
@@ -195,9 +237,10 @@
                 open: false,
                 seen: now,
                 sent: segment.sequence.wrapping_add(1),
-                stalls: 0,
+                sent_at: now,
                 target,
                 tried,
+                waiting_since: before.map_or(Some(now), |before| before.waiting_since),
             },
         );
         self.forward(target)
@@ -259,18 +302,27 @@
         flow: flow::Key,
         segment: &segment::Segment,
     ) -> Verdict {
-        let Some(key) = snapshot.cookies.get(&segment.cookie).copied() else {
-            return Verdict::Drop(count::Counter::DropUnknownCookie);
-        };
-        let Some(target) = snapshot.target(key) else {
+        let known = snapshot.cookies.get(&segment.cookie).copied();
+        let known = known.and_then(|key| Some((key, snapshot.target(key)?)));
+        let Some((key, target)) = known else {
+            self.note(snapshot, now, flow, segment, Cause::UnknownCookie, None);
             return Verdict::Drop(count::Counter::DropUnknownCookie);
         };
-        if !route.known.contains(&target.service) {
+        // Without the history of the routes, the target itself has to know its flows.
+        if snapshot.strict && !route.known.contains(&target.service) {
+            self.note(
+                snapshot,
+                now,
+                flow,
+                segment,
+                Cause::ForeignCookie,
+                Some(key),
+            );
             return Verdict::Drop(count::Counter::DropForeignCookie);
         }
-        let stalls = self.observe(now, flow, segment, key);
-        if let Some(cause) = self.broken(snapshot, route, now, target, key, stalls)
-            && segment.kind == packet::Kind::Middle
+        let step = self.observe(now, flow, segment, key);
+        if segment.kind == packet::Kind::Middle
+            && let Some(cause) = self.broken(route, now, target, key, step)
         {
             self.note(snapshot, now, flow, segment, cause, Some(key));
             self.tally.remove(flow);
@@ -282,14 +334,14 @@
         self.forward(key)
     }
 
-    /// Takes what a later packet shows; returns for how many packets its flow has stalled.
+    /// Takes what a later packet shows.
     fn observe(
         &mut self,
         now: time::Instant,
         flow: flow::Key,
         segment: &segment::Segment,
         target: key::Target,
-    ) -> u8 {
+    ) -> Step {
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         let fresh = tally::Flow {
             acknowledged: segment.acknowledged,
@@ -297,57 +349,69 @@
             open: true,
             seen: now,
             sent: end,
-            stalls: 0,
+            sent_at: now,
             target,
             tried: [None; 2],
+            waiting_since: (segment.length > 0).then_some(now),
         };
         let Some(before) = self.tally.get(flow).copied() else {
             self.tally.put(flow, fresh);
-            return 0;
+            return Step::Unknown;
         };
         if !before.open || before.target != target {
             if !before.open {
                 self.mark_progress(now, target);
             }
             self.tally.put(flow, fresh);
-            return 0;
+            return Step::Unknown;
         }
         let mut after = before;
         after.seen = now;
+        let mut step = Step::Unknown;
         if is_after(segment.acknowledged, before.acknowledged) {
             after.acknowledged = segment.acknowledged;
-            after.stalls = 0;
+            after.waiting_since = None;
             self.mark_progress(now, target);
-        } else if segment.length > 0 && !is_after(end, before.sent) {
-            after.stalls = before.stalls.saturating_add(1);
-            self.mark_stall(now, target);
         }
         if is_after(end, before.sent) {
+            if after.waiting_since.is_none() {
+                after.waiting_since = Some(now);
+                step = Step::New;
+            }
             after.sent = end;
+            after.sent_at = now;
+        } else if segment.length > 0
+            && let Some(since) = after.waiting_since
+            && now.since(before.sent_at) >= REPEAT_AFTER
+        {
+            step = Step::Repeated;
+            self.mark_stall(now, target, flow, now.since(since));
         }
         self.tally.put(flow, after);
-        after.stalls
+        step
     }
 
     /// Why a flow cannot go on, if it cannot.
     fn broken(
         &self,
-        snapshot: &snapshot::Snapshot,
         route: &snapshot::Route,
         now: time::Instant,
         target: &snapshot::Target,
         key: key::Target,
-        stalls: u8,
+        step: Step,
     ) -> Option<Cause> {
-        if stalls == 0 || now < self.paused_until {
+        let alone = now.since(self.progressed) >= OTHERS_WINDOW;
+        if now < self.paused_until || alone || !self.evidence(key).is_dead(now) {
             return None;
         }
-        if target.usage == snapshot::Use::Ended && self.evidence(key).is_dead(now) {
+        if target.usage == snapshot::Use::Ended && step != Step::Unknown {
             return Some(Cause::Ended);
         }
-        let cut = snapshot.is_silent(target.zone) && self.is_suspect(target.zone);
-        let repeatable = route.kind == catalog::Kind::Idempotent;
-        (cut && repeatable).then_some(Cause::ZoneCut)
+        let truthful = match route.kind {
+            catalog::Kind::Idempotent => step != Step::Unknown,
+            catalog::Kind::Once => step == Step::New,
+        };
+        truthful.then_some(Cause::Dead)
     }
 
     /// Notes the passing of time.
@@ -407,12 +471,19 @@
         &mut self.evidence[index]
     }
 
-    fn mark_stall(&mut self, now: time::Instant, key: key::Target) {
+    fn mark_stall(
+        &mut self,
+        now: time::Instant,
+        key: key::Target,
+        flow: flow::Key,
+        waited: time::Duration,
+    ) {
         self.counters.increment(count::Counter::FlowStalled);
-        self.evidence_mut(key).stall(now);
+        self.evidence_mut(key).stall(now, flow.low, waited);
     }
 
     fn mark_progress(&mut self, now: time::Instant, key: key::Target) {
+        self.progressed = now;
         self.evidence_mut(key).progress(now);
     }
 
--- a/lib/src/coordination/cookie/tally.rs
+++ b/lib/src/coordination/cookie/tally.rs
@@ -24,12 +24,14 @@
     pub seen: time::Instant,
     /// End of the data that the caller has sent.
     pub sent: u32,
-    /// Packets in a row that showed no progress.
-    pub stalls: u8,
+    /// When the caller last sent new data.
+    pub sent_at: time::Instant,
     /// Its target.
     pub target: key::Target,
     /// Targets that got a copy of the first packet before.
     pub tried: [Option<key::Target>; 2],
+    /// When the caller began to wait for something new, none while nothing is outstanding.
+    pub waiting_since: Option<time::Instant>,
 }
 
 /// Flows and their number on each target.
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -94,6 +94,8 @@
     pub services: Vec<Vec<key::Target>>,
     /// Zones whose instances have all fallen silent, by zone.
     pub silent_zones: Vec<bool>,
+    /// Whether every service is known to which a living flow of a route can have been led.
+    pub strict: bool,
     /// Targets by key.
     pub targets: Vec<Option<Target>>,
     /// Version of the configuration; zero without one.
--- a/lib/src/transport/cookie/journal.rs
+++ b/lib/src/transport/cookie/journal.rs
@@ -25,18 +25,15 @@
 
 /// A line for a decision on a flow.
 pub fn decision(log: &slog::Logger, core: &core::Core, decision: &forward::Decision) {
-    let outcome = match (decision.cause, decision.target) {
-        (forward::Cause::Placed | forward::Cause::Unanswered, Some(_)) => "forwarded",
-        _ => "reset",
-    };
     slog::info!(log, "flow";
         "flow" => flow_id(decision.flow),
         "caller" => %decision.segment.caller,
         "route" => %decision.segment.route,
-        "outcome" => outcome,
+        "outcome" => decision.cause.outcome(),
         "cause" => decision.cause.name(),
         "target" => decision.target.and_then(|key| target_id(core, key)),
         "load" => decision.load,
+        "cookie" => format!("{:08x}", decision.segment.cookie.0),
         "copies" => decision.segment.copies,
         "as_of" => decision.as_of,
         "version" => decision.version,
--- /dev/null
+++ b/lib/tests/cookie_forward.rs
@@ -0,0 +1,329 @@
+//! Forwarding by cookie: where packets go, what evidence they leave, and what is reset.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use quetzal_lib::coordination::cookie::{catalog as beliefs, forward};
+use quetzal_lib::coordination::hash;
+use quetzal_lib::state::{catalog, count, key, packet, segment, snapshot, time};
+
+const BOARD: key::Service = key::Service(0);
+const ARCHIVE: key::Service = key::Service(1);
+const HERE: key::Zone = key::Zone(0);
+const THERE: key::Zone = key::Zone(1);
+
+fn route_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_millis(3_600_000 + millis)
+}
+
+fn target(number: u64, service: key::Service, zone: key::Zone) -> snapshot::Target {
+    let id = key::Name(number + 100);
+    snapshot::Target {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number as u8), 8080),
+        cold_until: time::Instant(0),
+        connections: 2_000,
+        cookie: beliefs::cookie(id),
+        id,
+        load: 0,
+        service,
+        slots: 2,
+        usage: snapshot::Use::Place,
+        zone,
+    }
+}
+
+/// A picture with one route to the board; the archive has a target of its own.
+struct Fixture {
+    shard: forward::Shard,
+    snapshot: snapshot::Snapshot,
+}
+
+impl Fixture {
+    fn new(kind: catalog::Kind, targets: &[snapshot::Target]) -> Self {
+        let route = snapshot::Route {
+            branches: vec![snapshot::Branch {
+                service: BOARD,
+                weight: 1,
+            }],
+            kind,
+            known: vec![BOARD],
+        };
+        let mut snapshot = snapshot::Snapshot {
+            as_of: 1,
+            fresh: true,
+            generation: 1,
+            routes: Arc::new(HashMap::from([(route_address(), route)])),
+            silent_zones: vec![false; 2],
+            version: 1,
+            zone: Some(HERE),
+            zones: Arc::new(vec!["here".into(), "there".into()]),
+            ..snapshot::Snapshot::default()
+        };
+        snapshot.services = vec![Vec::new(); 2];
+        let mut cookies = HashMap::new();
+        for (index, target) in targets.iter().enumerate() {
+            let key = key::Target::from(index);
+            cookies.insert(target.cookie, key);
+            if target.usage == snapshot::Use::Place {
+                snapshot.services[target.service.index()].push(key);
+            }
+            snapshot.targets.push(Some(*target));
+        }
+        snapshot.cookies = Arc::new(cookies);
+        Self {
+            shard: forward::Shard::new(hash::Secret::default()),
+            snapshot,
+        }
+    }
+
+    fn steer(&mut self, now: u64, segment: &segment::Segment) -> forward::Verdict {
+        self.shard.steer(&self.snapshot, at(now), segment)
+    }
+
+    fn cookie(&self, key: key::Target) -> snapshot::Cookie {
+        self.snapshot.target(key).expect("a target").cookie
+    }
+
+    /// Opens a flow from a port and returns its target.
+    fn open(&mut self, now: u64, port: u16) -> key::Target {
+        let forward::Verdict::Forward(key) = self.steer(now, &first(port, 0)) else {
+            panic!("not placed");
+        };
+        let cookie = self.cookie(key);
+        let verdict = self.steer(now, &data(port, cookie, 1, 0, 10));
+        assert_eq!(verdict, forward::Verdict::Forward(key));
+        key
+    }
+}
+
+fn first(port: u16, copies: u32) -> segment::Segment {
+    segment::Segment {
+        acknowledged: 0,
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
+        cookie: snapshot::Cookie::NONE,
+        copies,
+        kind: packet::Kind::First,
+        length: 0,
+        route: route_address(),
+        sequence: 0,
+    }
+}
+
+fn data(
+    port: u16,
+    cookie: snapshot::Cookie,
+    sequence: u32,
+    acknowledged: u32,
+    length: u16,
+) -> segment::Segment {
+    segment::Segment {
+        acknowledged,
+        cookie,
+        kind: packet::Kind::Middle,
+        length,
+        sequence,
+        ..first(port, 0)
+    }
+}
+
+fn two_zones() -> Vec<snapshot::Target> {
+    vec![
+        target(1, BOARD, HERE),
+        target(2, BOARD, HERE),
+        target(3, BOARD, THERE),
+        target(4, ARCHIVE, HERE),
+    ]
+}
+
+#[test]
+fn another_instance_forwards_by_cookie() {
+    let mut one = Fixture::new(catalog::Kind::Once, &two_zones());
+    let mut other = Fixture::new(catalog::Kind::Once, &two_zones());
+    let key = one.open(0, 4_000);
+    let packet = data(4_000, one.cookie(key), 11, 5, 10);
+    assert_eq!(other.steer(5, &packet), forward::Verdict::Forward(key));
+}
+
+#[test]
+fn a_copy_of_a_first_packet_goes_elsewhere() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let before = fixture.steer(0, &first(4_000, 0));
+    assert_eq!(fixture.steer(1, &first(4_000, 0)), before);
+    let after = fixture.steer(200, &first(4_000, 1));
+    assert_ne!(after, before);
+    assert!(matches!(after, forward::Verdict::Forward(_)));
+}
+
+#[test]
+fn a_draining_target_keeps_its_flows_only() {
+    let mut targets = two_zones();
+    let mut fixture = Fixture::new(catalog::Kind::Once, &targets);
+    let key = fixture.open(0, 4_000);
+    targets[key.index()].usage = snapshot::Use::Keep;
+    let drained = Fixture::new(catalog::Kind::Once, &targets);
+    fixture.snapshot = drained.snapshot;
+    let packet = data(4_000, fixture.cookie(key), 11, 5, 10);
+    assert_eq!(fixture.steer(10, &packet), forward::Verdict::Forward(key));
+    for port in 5_000..5_050 {
+        assert_ne!(fixture.open(20, port), key);
+    }
+}
+
+#[test]
+fn unknown_and_foreign_cookies_lead_nowhere() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    fixture.snapshot.strict = true;
+    let unknown = data(4_000, snapshot::Cookie(77), 11, 5, 10);
+    let dropped = forward::Verdict::Drop(count::Counter::DropUnknownCookie);
+    assert_eq!(fixture.steer(0, &unknown), dropped);
+    let foreign = data(4_000, fixture.cookie(key::Target(3)), 11, 5, 10);
+    let dropped = forward::Verdict::Drop(count::Counter::DropForeignCookie);
+    assert_eq!(fixture.steer(0, &foreign), dropped);
+}
+
+/// Found by rangrekha-live trouble-2: a change of a route's services, then restarts. The restarted
+/// instances did not know that the route had led to the archive, and dropped its open flows.
+#[test]
+fn an_instance_without_history_trusts_the_cookie() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let former = data(4_000, fixture.cookie(key::Target(3)), 11, 5, 10);
+    let verdict = fixture.steer(0, &former);
+    assert_eq!(verdict, forward::Verdict::Forward(key::Target(3)));
+}
+
+#[test]
+fn a_route_is_refused_by_fresh_facts_only() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let mut packet = first(4_000, 0);
+    packet.route.set_port(444);
+    assert_eq!(fixture.steer(0, &packet), forward::Verdict::Reset);
+    fixture.snapshot.fresh = false;
+    let dropped = forward::Verdict::Drop(count::Counter::DropUnknownAddress);
+    assert_eq!(fixture.steer(1, &packet), dropped);
+}
+
+/// Opens flows until three are on one target and returns it with the ports of its flows and of one
+/// flow elsewhere.
+fn crowd(fixture: &mut Fixture) -> (key::Target, Vec<u16>, u16) {
+    let placed: Vec<(u16, key::Target)> = (5_000..5_030)
+        .map(|port| (port, fixture.open(0, port)))
+        .collect();
+    let dead = placed[0].1;
+    let ports: Vec<u16> = placed
+        .iter()
+        .filter(|(_, key)| *key == dead)
+        .map(|(port, _)| *port)
+        .collect();
+    assert!(ports.len() >= 3);
+    let other = placed.iter().find(|(_, key)| *key != dead).expect("spread");
+    (dead, ports, other.0)
+}
+
+/// Lets the flows of a target stall while another flow makes progress.
+fn stall(fixture: &mut Fixture, dead: key::Target, ports: &[u16], other: u16) {
+    let cookie = fixture.cookie(dead);
+    for now in [700, 900] {
+        for port in ports {
+            fixture.steer(now, &data(*port, cookie, 1, 0, 10));
+        }
+    }
+    let flow = hash::flow_key(hash::Secret::default(), &first(other, 0).tuple());
+    let target = fixture.shard.flow(flow).expect("a flow").target;
+    let cookie = fixture.cookie(target);
+    fixture.steer(900, &data(other, cookie, 11, 50, 10));
+}
+
+#[test]
+fn a_repeatable_request_on_a_target_that_answers_nothing_is_reset() {
+    let mut fixture = Fixture::new(catalog::Kind::Idempotent, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    stall(&mut fixture, dead, &ports, other);
+    let packet = data(ports[0], fixture.cookie(dead), 1, 0, 10);
+    assert_eq!(fixture.steer(950, &packet), forward::Verdict::Reset);
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_reset() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    stall(&mut fixture, dead, &ports, other);
+    let repeated = data(ports[0], fixture.cookie(dead), 1, 0, 10);
+    assert_eq!(
+        fixture.steer(950, &repeated),
+        forward::Verdict::Forward(dead)
+    );
+    let new = data(ports[0], fixture.cookie(dead), 11, 0, 10);
+    assert_eq!(fixture.steer(960, &new), forward::Verdict::Forward(dead));
+}
+
+#[test]
+fn no_flow_is_reset_while_all_are_silent() {
+    let mut fixture = Fixture::new(catalog::Kind::Idempotent, &two_zones());
+    let (dead, ports, _) = crowd(&mut fixture);
+    let cookie = fixture.cookie(dead);
+    for now in [700, 900, 1_100] {
+        for port in &ports {
+            let verdict = fixture.steer(now, &data(*port, cookie, 1, 0, 10));
+            assert_eq!(verdict, forward::Verdict::Forward(dead));
+        }
+    }
+}
+
+#[test]
+fn one_sign_of_life_clears_a_target() {
+    let mut fixture = Fixture::new(catalog::Kind::Idempotent, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    stall(&mut fixture, dead, &ports, other);
+    let cookie = fixture.cookie(dead);
+    fixture.steer(940, &data(ports[1], cookie, 11, 60, 0));
+    let packet = data(ports[0], cookie, 1, 0, 10);
+    assert_eq!(fixture.steer(950, &packet), forward::Verdict::Forward(dead));
+}
+
+/// A flow whose last request was answered begins a new one on a target that is dead by then.
+#[test]
+fn a_request_that_was_not_forwarded_at_all_is_reset() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    let cookie = fixture.cookie(dead);
+    fixture.steer(60, &data(ports[0], cookie, 11, 70, 0));
+    stall(&mut fixture, dead, &ports[1..], other);
+    let new = data(ports[0], cookie, 11, 70, 10);
+    assert_eq!(fixture.steer(950, &new), forward::Verdict::Reset);
+}
+
+/// Found by rangrekha-live quiet-1 (FLOW broken once in ten plays): packets of requests that overtook
+/// each other counted as sent again, and three of them made a living target look dead.
+#[test]
+fn packets_that_overtake_each_other_are_no_stall() {
+    let mut fixture = Fixture::new(catalog::Kind::Idempotent, &two_zones());
+    let (key, ports, other) = crowd(&mut fixture);
+    let cookie = fixture.cookie(key);
+    for port in &ports {
+        fixture.steer(700, &data(*port, cookie, 11, 0, 10));
+        fixture.steer(701, &data(*port, cookie, 1, 0, 10));
+        fixture.steer(702, &data(*port, cookie, 11, 0, 10));
+    }
+    stall(&mut fixture, key, &[], other);
+    let packet = data(ports[0], cookie, 21, 0, 10);
+    assert_eq!(fixture.steer(910, &packet), forward::Verdict::Forward(key));
+}
+
+/// A request of several packets may have been forwarded in part.
+#[test]
+fn the_rest_of_a_forwarded_request_is_not_reset() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    let cookie = fixture.cookie(dead);
+    fixture.steer(60, &data(ports[0], cookie, 11, 70, 0));
+    fixture.steer(70, &data(ports[0], cookie, 11, 70, 10));
+    stall(&mut fixture, dead, &ports[1..], other);
+    fixture.steer(901, &data(ports[0], cookie, 11, 70, 10));
+    let rest = data(ports[0], cookie, 21, 70, 10);
+    assert_eq!(fixture.steer(902, &rest), forward::Verdict::Forward(dead));
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runner of the library's tests.
 
+mod cookie_forward;
 mod decoders;
 mod layers;
 mod limits;
