--- a/lib/src/coordination/cookie/beat.rs
+++ b/lib/src/coordination/cookie/beat.rs
@@ -5,13 +5,15 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-/// Open flows that an instance counts on a target.
+/// What an instance counts on a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// Cookie of the target.
     pub cookie: u32,
     /// Open flows.
     pub flows: u16,
+    /// Open flows whose callers wait for something new.
+    pub waiting: u16,
 }
 
 /// What an instance tells another.
@@ -28,7 +30,7 @@
     pub incarnation: u64,
     /// Whether the sender is about to stop.
     pub leaving: bool,
-    /// Open flows.
+    /// What the sender counts on targets.
     pub loads: Vec<Load>,
     /// Name of the sender.
     pub name: CompactString,
--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -25,7 +25,7 @@
 /// Largest number of such waits.
 const STAGGER_LIMIT: usize = 6;
 /// Time after its start for which an instance that is no seed waits for the facts of a peer.
-const PEER_HEAD_START: time::Duration = time::Duration::from_millis(150);
+const PEER_HEAD_START: time::Duration = time::Duration::from_millis(60);
 /// Age up to which facts are good enough to refuse a flow by them; the bound in which a change must
 /// be in force is three seconds.
 const FRESH_FOR: time::Duration = time::Duration::from_millis(2_500);
@@ -394,18 +394,20 @@
     }
 
     fn loads(&self) -> Vec<beat::Load> {
-        let mut loads: HashMap<key::Target, u32> = HashMap::new();
-        for (target, flows) in self.reports.iter().flat_map(|report| &report.loads) {
-            *loads.entry(*target).or_default() += flows;
+        let mut loads: HashMap<key::Target, snapshot::Count> = HashMap::new();
+        for (target, count) in self.reports.iter().flat_map(|report| &report.loads) {
+            let sum = loads.entry(*target).or_default();
+            *sum = *sum + *count;
         }
+        let narrow = |number: u32| number.min(u32::from(u16::MAX)) as u16;
         loads
             .into_iter()
-            .filter_map(|(target, flows)| {
+            .filter_map(|(target, count)| {
                 let record = self.beliefs.targets.get(target)?;
-                let flows = flows.min(u32::from(u16::MAX)) as u16;
                 Some(beat::Load {
                     cookie: record.cookie.0,
-                    flows,
+                    flows: narrow(count.flows),
+                    waiting: narrow(count.waiting),
                 })
             })
             .collect()
@@ -457,8 +459,8 @@
                 cold_until: record.cold_until,
                 connections: self.connections(&record.details.service),
                 cookie: record.cookie,
+                elsewhere: elsewhere.get(&record.cookie.0).copied().unwrap_or_default(),
                 id: record.id,
-                load: elsewhere.get(&record.cookie.0).copied().unwrap_or(0),
                 service,
                 slots: record.details.slots,
                 usage,
@@ -518,11 +520,16 @@
             .unwrap_or(u32::MAX)
     }
 
-    /// Open flows that other instances count, by cookie.
-    fn loads_elsewhere(&self, now: time::Instant) -> HashMap<u32, u32> {
-        let mut loads = HashMap::new();
+    /// What other instances count on targets, by cookie.
+    fn loads_elsewhere(&self, now: time::Instant) -> HashMap<u32, snapshot::Count> {
+        let mut loads: HashMap<u32, snapshot::Count> = HashMap::new();
         for load in self.peers.alive(now).flat_map(|(_, peer)| &peer.beat.loads) {
-            *loads.entry(load.cookie).or_default() += u32::from(load.flows);
+            let sum = loads.entry(load.cookie).or_default();
+            *sum = *sum
+                + snapshot::Count {
+                    flows: u32::from(load.flows),
+                    waiting: u32::from(load.waiting),
+                };
         }
         loads
     }
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -113,8 +113,8 @@
     pub cause: Cause,
     /// The flow's identifier, equal on every instance.
     pub flow: flow::Key,
-    /// Open flows known on the target.
-    pub load: u32,
+    /// What is known to be on the target.
+    pub load: snapshot::Count,
     /// The packet.
     pub segment: segment::Segment,
     /// The target, none if the flow was refused.
@@ -132,8 +132,8 @@
     pub decisions: Vec<Decision>,
     /// Flows seen lately.
     pub flows: usize,
-    /// Open flows by target.
-    pub loads: Vec<(key::Target, u32)>,
+    /// What is counted here, by target.
+    pub loads: Vec<(key::Target, snapshot::Count)>,
     /// Decisions that were left out of the report.
     pub omitted: u64,
     /// Zones that are suspect, by zone.
@@ -448,9 +448,9 @@
         self.tally.get(key)
     }
 
-    fn load(&self, snapshot: &snapshot::Snapshot, key: key::Target) -> u32 {
-        let elsewhere = snapshot.target(key).map_or(0, |target| target.load);
-        self.tally.count(key) + elsewhere
+    fn load(&self, snapshot: &snapshot::Snapshot, key: key::Target) -> snapshot::Count {
+        let elsewhere = snapshot.target(key).map(|target| target.elsewhere);
+        self.tally.count(key) + elsewhere.unwrap_or_default()
     }
 
     fn forward(&self, target: key::Target) -> Verdict {
@@ -510,7 +510,7 @@
             at: now,
             cause,
             flow,
-            load: target.map_or(0, |key| self.load(snapshot, key)),
+            load: target.map_or_else(snapshot::Count::default, |key| self.load(snapshot, key)),
             segment: *segment,
             target,
             version: snapshot.version,
--- a/lib/src/coordination/cookie/place.rs
+++ b/lib/src/coordination/cookie/place.rs
@@ -1,9 +1,9 @@
 //! Choice of a target for a new flow that will carry a cookie.
 //!
-//! The least loaded target takes the flow. Load is the number of open flows for each slot, counted
-//! here and told by other instances; a target that is still slow after its start counts as having
-//! fewer slots. Targets of other zones take flows only when those of the own zone are clearly more
-//! loaded, since a partition between zones cuts such flows.
+//! The flow goes where it will wait least. A target's load is what its open flows ask of it on
+//! average, and what waits for it now beyond its slots; a target that is still slow after its start
+//! counts as having fewer slots. Targets of other zones take flows only when those of the own zone
+//! are clearly more loaded, since a partition between zones cuts such flows.
 
 use crate::coordination::hash;
 use crate::state::{key, snapshot, time};
@@ -12,6 +12,9 @@
 const FOREIGN_MARGIN: f64 = 0.75;
 /// Share of its slots that a target counts with while it is slow after its start.
 const COLD_SHARE: f64 = 0.5;
+/// Least share of its life for which a flow is taken to occupy a slot, so that flows count before
+/// any was seen to wait.
+const MIN_OCCUPANCY: f64 = 0.02;
 
 /// What the choice goes by.
 pub struct Question<'a, L, F> {
@@ -19,7 +22,7 @@
     pub allowed: F,
     /// Identifier of the flow, which decides between equal targets.
     pub flow: u64,
-    /// Open flows on a target, as far as they are known.
+    /// What is known to be on a target.
     pub load: L,
     /// Present time.
     pub now: time::Instant,
@@ -33,41 +36,47 @@
     candidates: &[key::Target],
 ) -> Option<key::Target>
 where
-    L: Fn(key::Target) -> u32,
+    L: Fn(key::Target) -> snapshot::Count,
     F: Fn(key::Target) -> bool,
 {
-    let usable: Vec<(key::Target, &snapshot::Target, u32)> = candidates
+    let usable: Vec<(key::Target, &snapshot::Target, snapshot::Count)> = candidates
         .iter()
         .filter(|key| (question.allowed)(**key))
         .filter_map(|key| {
             let target = question.snapshot.target(*key)?;
             let load = (question.load)(*key);
-            (load < target.connections).then_some((*key, target, load))
+            (load.flows < target.connections).then_some((*key, target, load))
         })
         .collect();
-    let flows: u32 = usable.iter().map(|(_, _, load)| load).sum();
+    let total = usable
+        .iter()
+        .fold(snapshot::Count::default(), |sum, (_, _, load)| sum + *load);
     let slots: u32 = usable
         .iter()
         .map(|(_, target, _)| u32::from(target.slots))
         .sum();
-    let mean = f64::from(flows) / f64::from(slots.max(1));
-    let cost = |target: &snapshot::Target, load: u32| {
+    // Share of its life for which a flow occupies a slot, as seen over all targets.
+    let occupancy = f64::from(total.waiting) / f64::from(total.flows.max(1));
+    let occupancy = occupancy.clamp(MIN_OCCUPANCY, 1.0);
+    let mean = occupancy * f64::from(total.flows) / f64::from(slots.max(1));
+    let cost = |target: &snapshot::Target, load: snapshot::Count| {
         let share = if question.now < target.cold_until {
             COLD_SHARE
         } else {
             1.0
         };
-        let slots = f64::from(target.slots.max(1)) * share;
+        let queued = load.waiting.saturating_sub(u32::from(target.slots));
+        let demand = occupancy * f64::from(load.flows + 1) + f64::from(queued);
         let foreign = question
             .snapshot
             .zone
             .is_some_and(|zone| zone != target.zone);
         let margin = if foreign {
-            (mean + 1.0) * FOREIGN_MARGIN
+            (mean + occupancy) * FOREIGN_MARGIN
         } else {
             0.0
         };
-        f64::from(load + 1) / slots + margin
+        demand / (f64::from(target.slots.max(1)) * share) + margin
     };
     usable
         .iter()
--- a/lib/src/coordination/cookie/tally.rs
+++ b/lib/src/coordination/cookie/tally.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use crate::state::{arena, flow, key, time};
+use crate::state::{arena, flow, key, snapshot, time};
 
 /// Time without a packet after which a flow is no longer counted here; above the usual pause
 /// between two requests of a flow.
@@ -37,23 +37,23 @@
 /// Flows and their number on each target.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
-    counts: Vec<u32>,
+    counts: Vec<snapshot::Count>,
     flows: arena::Arena<key::Entry, Flow>,
     index: HashMap<flow::Key, key::Entry>,
 }
 
 impl Tally {
-    /// Flows that are counted on a target.
-    pub fn count(&self, target: key::Target) -> u32 {
-        self.counts.get(target.index()).copied().unwrap_or(0)
+    /// What is counted on a target.
+    pub fn count(&self, target: key::Target) -> snapshot::Count {
+        self.counts.get(target.index()).copied().unwrap_or_default()
     }
 
-    /// Flows that are counted, by target.
-    pub fn counts(&self) -> impl Iterator<Item = (key::Target, u32)> {
+    /// What is counted, by target.
+    pub fn counts(&self) -> impl Iterator<Item = (key::Target, snapshot::Count)> {
         self.counts
             .iter()
             .enumerate()
-            .filter(|(_, count)| **count > 0)
+            .filter(|(_, count)| count.flows > 0)
             .map(|(index, count)| (key::Target::from(index), *count))
     }
 
@@ -75,7 +75,7 @@
     /// Adds or replaces a flow.
     pub fn put(&mut self, key: flow::Key, flow: Flow) {
         self.remove(key);
-        *self.slot(flow.target) += 1;
+        self.slot(flow.target).add(flow.waiting_since.is_some());
         let entry = self.flows.insert(flow);
         self.index.insert(key, entry);
     }
@@ -87,8 +87,8 @@
             .remove(&key)
             .and_then(|entry| self.flows.remove(entry))
         {
-            let count = self.slot(flow.target);
-            *count = count.saturating_sub(1);
+            self.slot(flow.target)
+                .subtract(flow.waiting_since.is_some());
         }
     }
 
@@ -108,10 +108,10 @@
         }
     }
 
-    fn slot(&mut self, target: key::Target) -> &mut u32 {
+    fn slot(&mut self, target: key::Target) -> &mut snapshot::Count {
         let index = target.index();
         if self.counts.len() <= index {
-            self.counts.resize(index + 1, 0);
+            self.counts.resize(index + 1, snapshot::Count::default());
         }
         &mut self.counts[index]
     }
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -19,6 +19,40 @@
     pub const NONE: Self = Self(0);
 }
 
+/// What is counted on a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Count {
+    /// Flows.
+    pub flows: u32,
+    /// Flows whose callers wait for something new.
+    pub waiting: u32,
+}
+
+impl Count {
+    /// Counts one more flow.
+    pub fn add(&mut self, waiting: bool) {
+        self.flows += 1;
+        self.waiting += u32::from(waiting);
+    }
+
+    /// Counts one flow less.
+    pub fn subtract(&mut self, waiting: bool) {
+        self.flows = self.flows.saturating_sub(1);
+        self.waiting = self.waiting.saturating_sub(u32::from(waiting));
+    }
+}
+
+impl std::ops::Add for Count {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            flows: self.flows + other.flows,
+            waiting: self.waiting + other.waiting,
+        }
+    }
+}
+
 /// A service that a route sends new flows to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Branch {
@@ -61,10 +95,10 @@
     pub connections: u32,
     /// Cookie of its flows.
     pub cookie: Cookie,
+    /// What other instances count on it.
+    pub elsewhere: Count,
     /// Identity that packets to it carry.
     pub id: key::Name,
-    /// Open flows on it that other instances count.
-    pub load: u32,
     /// Its service.
     pub service: key::Service,
     /// Requests that it processes at once.
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -361,7 +361,7 @@
         service.push(status::Target {
             address: record.details.address.to_string().into(),
             fitness: fitness.into(),
-            flows: target.load + own.map(|(_, flows)| flows).sum::<u32>(),
+            flows: target.elsewhere.flows + own.map(|(_, count)| count.flows).sum::<u32>(),
             homes: 0,
             name: format!("{:x}", record.id.0).into(),
             state: format!("{:?}", record.details.duty).to_lowercase().into(),
