--- a/lib/src/coordination/cookie/place.rs
+++ b/lib/src/coordination/cookie/place.rs
@@ -9,7 +9,7 @@
 use crate::state::{key, snapshot, time};
 
 /// Load by which a target of another zone must be better, relative to the mean of the service.
-const FOREIGN_MARGIN: f64 = 0.75;
+const FOREIGN_MARGIN: f64 = 1.5;
 /// Share of its slots that a target counts with while it is slow after its start.
 const COLD_SHARE: f64 = 0.5;
 /// Least share of its life for which a flow is taken to occupy a slot, so that flows count before
