coordination: a target that another instance sees alive is not dead

Ruled out: the targets (their last packets through other instances arrive), a pause (no gap in ticks). Change: heartbeats carry the age of the last progress, which vetoes a reset; offers leave the configuration out where the asker has it. Test seen failing without the veto.

--- a/lib/src/coordination/cookie/beat.rs
+++ b/lib/src/coordination/cookie/beat.rs
@@ -12,6 +12,8 @@
     pub cookie: u32,
     /// Open flows.
     pub flows: u16,
+    /// Time since one of the flows made progress, in milliseconds; the largest value if longer ago.
+    pub progress_ms: u16,
     /// Open flows whose callers wait for something new.
     pub waiting: u16,
 }
--- a/lib/src/coordination/cookie/catalog.rs
+++ b/lib/src/coordination/cookie/catalog.rs
@@ -74,6 +74,8 @@
     pub confirmed: Option<time::Instant>,
     /// Targets.
     pub targets: arena::Arena<key::Target, Record>,
+    /// Revision at which the configuration in force was already there.
+    config_as_of: u64,
     /// Below this revision removals are not known.
     floor: u64,
     grace_until: time::Instant,
@@ -144,6 +146,7 @@
         {
             changes.push(Change::Config(config.version));
             self.config = Some(config.clone());
+            self.config_as_of = delta.as_of;
         }
         let connects = delta.whole || delta.since <= self.as_of;
         if connects && delta.as_of >= self.as_of {
@@ -202,7 +205,10 @@
             .collect();
         catalog::Delta {
             as_of: self.as_of,
-            config: self.config.clone(),
+            config: self
+                .config
+                .clone()
+                .filter(|_| whole || self.config_as_of > since),
             entries,
             since: if whole { 0 } else { since },
             whole,
--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -383,7 +383,7 @@
                 .map(|contacted| millis(now.since(contacted))),
             incarnation: self.config.incarnation,
             leaving: self.leaving,
-            loads: self.loads(),
+            loads: self.loads(now),
             name: self.config.name.clone(),
             peers: self.peers.named(now, &mut self.random),
             sequence: self.sequence,
@@ -393,20 +393,22 @@
         self.outputs.push(Output::Beat(to, beat));
     }
 
-    fn loads(&self) -> Vec<beat::Load> {
-        let mut loads: HashMap<key::Target, snapshot::Count> = HashMap::new();
-        for (target, count) in self.reports.iter().flat_map(|report| &report.loads) {
-            let sum = loads.entry(*target).or_default();
-            *sum = *sum + *count;
+    fn loads(&self, now: time::Instant) -> Vec<beat::Load> {
+        let mut loads: HashMap<key::Target, (snapshot::Count, time::Instant)> = HashMap::new();
+        for load in self.reports.iter().flat_map(|report| &report.loads) {
+            let (count, progressed) = loads.entry(load.target).or_default();
+            *count = *count + load.count;
+            *progressed = load.progressed.max(*progressed);
         }
         let narrow = |number: u32| number.min(u32::from(u16::MAX)) as u16;
         loads
             .into_iter()
-            .filter_map(|(target, count)| {
+            .filter_map(|(target, (count, progressed))| {
                 let record = self.beliefs.targets.get(target)?;
                 Some(beat::Load {
                     cookie: record.cookie.0,
                     flows: narrow(count.flows),
+                    progress_ms: narrow(millis(now.since(progressed))),
                     waiting: narrow(count.waiting),
                 })
             })
@@ -454,13 +456,15 @@
                 }
                 by_service[service.index()].push(key);
             }
+            let (count, progressed) = elsewhere.get(&record.cookie.0).copied().unwrap_or_default();
             targets[key.index()] = Some(snapshot::Target {
                 address: record.details.address,
                 cold_until: record.cold_until,
                 connections: self.connections(&record.details.service),
                 cookie: record.cookie,
-                elsewhere: elsewhere.get(&record.cookie.0).copied().unwrap_or_default(),
+                elsewhere: count,
                 id: record.id,
+                progressed,
                 service,
                 slots: record.details.slots,
                 usage,
@@ -520,16 +524,25 @@
             .unwrap_or(u32::MAX)
     }
 
-    /// What other instances count on targets, by cookie.
-    fn loads_elsewhere(&self, now: time::Instant) -> HashMap<u32, snapshot::Count> {
-        let mut loads: HashMap<u32, snapshot::Count> = HashMap::new();
-        for load in self.peers.alive(now).flat_map(|(_, peer)| &peer.beat.loads) {
-            let sum = loads.entry(load.cookie).or_default();
-            *sum = *sum
-                + snapshot::Count {
-                    flows: u32::from(load.flows),
-                    waiting: u32::from(load.waiting),
-                };
+    /// What other instances know of targets, by cookie: flows and the last progress.
+    fn loads_elsewhere(
+        &self,
+        now: time::Instant,
+    ) -> HashMap<u32, (snapshot::Count, time::Instant)> {
+        let mut loads: HashMap<u32, (snapshot::Count, time::Instant)> = HashMap::new();
+        for (_, peer) in self.peers.alive(now) {
+            for load in &peer.beat.loads {
+                let (count, progressed) = loads.entry(load.cookie).or_default();
+                *count = *count
+                    + snapshot::Count {
+                        flows: u32::from(load.flows),
+                        waiting: u32::from(load.waiting),
+                    };
+                if load.progress_ms < u16::MAX {
+                    let at = peers::before(peer.heard, u32::from(load.progress_ms));
+                    *progressed = at.max(*progressed);
+                }
+            }
         }
         loads
     }
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -29,6 +29,10 @@
 /// earliest, and packets that overtake each other are closer together.
 const REPEAT_AFTER: time::Duration = time::Duration::from_millis(150);
 
+/// Age of the last progress that another instance saw at which it no longer vouches for a target;
+/// above the time in which instances tell each other.
+const ELSEWHERE_WINDOW: time::Duration = time::Duration::from_millis(1_000);
+
 /// What a later packet is to its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Step {
@@ -123,6 +127,17 @@
     pub version: u64,
 }
 
+/// What a traffic thread knows of one target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// What is counted here.
+    pub count: snapshot::Count,
+    /// When one of its flows last made progress.
+    pub progressed: time::Instant,
+    /// The target.
+    pub target: key::Target,
+}
+
 /// What a traffic thread tells the control thread.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -132,8 +147,8 @@
     pub decisions: Vec<Decision>,
     /// Flows seen lately.
     pub flows: usize,
-    /// What is counted here, by target.
-    pub loads: Vec<(key::Target, snapshot::Count)>,
+    /// Targets with flows.
+    pub loads: Vec<Load>,
     /// Decisions that were left out of the report.
     pub omitted: u64,
     /// Zones that are suspect, by zone.
@@ -401,7 +416,9 @@
         step: Step,
     ) -> Option<Cause> {
         let alone = now.since(self.progressed) >= OTHERS_WINDOW;
-        if now < self.paused_until || alone || !self.evidence(key).is_dead(now) {
+        // This instance's own link may be what loses packets, which others then would not see.
+        let alive = now.since(target.progressed) < ELSEWHERE_WINDOW;
+        if now < self.paused_until || alone || alive || !self.evidence(key).is_dead(now) {
             return None;
         }
         if target.usage == snapshot::Use::Ended && step != Step::Unknown {
@@ -437,7 +454,15 @@
             avoided,
             decisions: std::mem::take(&mut self.decisions),
             flows: self.tally.len(),
-            loads: self.tally.counts().collect(),
+            loads: self
+                .tally
+                .counts()
+                .map(|(target, count)| Load {
+                    count,
+                    progressed: self.evidence(target).progressed,
+                    target,
+                })
+                .collect(),
             omitted: std::mem::take(&mut self.omitted),
             suspects: self.suspects.clone(),
         }
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -99,6 +99,8 @@
     pub elsewhere: Count,
     /// Identity that packets to it carry.
     pub id: key::Name,
+    /// When another instance last saw one of its flows make progress.
+    pub progressed: time::Instant,
     /// Its service.
     pub service: key::Service,
     /// Requests that it processes at once.
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -356,12 +356,12 @@
             (snapshot::Use::Keep | snapshot::Use::Ended, _) => "closed",
         };
         let own = core.reports.iter().flat_map(|report| &report.loads);
-        let own = own.filter(|(target, _)| *target == key);
+        let own = own.filter(|load| load.target == key);
         let service = services.entry(&record.details.service).or_default();
         service.push(status::Target {
             address: record.details.address.to_string().into(),
             fitness: fitness.into(),
-            flows: target.elsewhere.flows + own.map(|(_, count)| count.flows).sum::<u32>(),
+            flows: target.elsewhere.flows + own.map(|load| load.count.flows).sum::<u32>(),
             homes: 0,
             name: format!("{:x}", record.id.0).into(),
             state: format!("{:?}", record.details.duty).to_lowercase().into(),
--- a/lib/src/transport/cookie/traffic.rs
+++ b/lib/src/transport/cookie/traffic.rs
@@ -16,7 +16,7 @@
 /// Time between passes over the evidence; also the longest wait for a packet.
 pub const TICK: time::Duration = time::Duration::from_millis(100);
 /// Time between reports to the control thread.
-const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(250);
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// What a traffic thread tells the control thread.
 #[derive(Clone, Debug)]
--- a/lib/tests/cookie_forward.rs
+++ b/lib/tests/cookie_forward.rs
@@ -30,6 +30,7 @@
         cookie: beliefs::cookie(id),
         elsewhere: snapshot::Count::default(),
         id,
+        progressed: time::Instant(0),
         service,
         slots: 2,
         usage: snapshot::Use::Place,
@@ -327,3 +328,16 @@
     let rest = data(ports[0], cookie, 21, 70, 10);
     assert_eq!(fixture.steer(902, &rest), forward::Verdict::Forward(dead));
 }
+
+/// Found by gpcg-rounds-grown scale-2 (FLOW broken 21 times): the narrow link of one instance was full,
+/// so that its flows stalled on targets with which all others went on.
+#[test]
+fn a_target_that_another_instance_sees_alive_is_not_dead() {
+    let mut fixture = Fixture::new(catalog::Kind::Idempotent, &two_zones());
+    let (key, ports, other) = crowd(&mut fixture);
+    stall(&mut fixture, key, &ports, other);
+    let target = fixture.snapshot.targets[key.index()].as_mut();
+    target.expect("a target").progressed = at(300);
+    let packet = data(ports[0], fixture.cookie(key), 1, 0, 10);
+    assert_eq!(fixture.steer(950, &packet), forward::Verdict::Forward(key));
+}
