--- a/lib/src/coordination/cookie/catalog.rs
+++ b/lib/src/coordination/cookie/catalog.rs
@@ -13,7 +13,7 @@
 
 /// Gap between confirmations that counts as an outage of the publisher; above the longest time
 /// between two answers of a watch that are handed on by another instance.
-const OUTAGE_AFTER: time::Duration = time::Duration::from_millis(2_500);
+const OUTAGE_AFTER: time::Duration = time::Duration::from_millis(2_800);
 /// Time in which a living target registers again after an outage; the platform's pages promise
 /// about two seconds.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -19,7 +19,7 @@
 const WATCHERS: usize = 2;
 /// Age of facts at which an instance reads the publisher itself; above the usual gap between two
 /// answers of a watch and the heartbeat that tells of them.
-const STALE_AFTER: time::Duration = time::Duration::from_millis(1_800);
+const STALE_AFTER: time::Duration = time::Duration::from_millis(2_300);
 /// Further wait for each instance that ranks before this one, so that not all read at once.
 const STAGGER: time::Duration = time::Duration::from_millis(120);
 /// Largest number of such waits.
