--- /dev/null
+++ b/lib/tests/cookie_beliefs.rs
@@ -0,0 +1,318 @@
+//! Beliefs about published facts, peers found through seeds, and who watches the publisher.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use quetzal_lib::coordination::cookie::{beat, catalog as beliefs, core};
+use quetzal_lib::state::{catalog, key, random, snapshot, time};
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_millis(3_600_000 + millis)
+}
+
+fn details(duty: catalog::Duty) -> catalog::Target {
+    catalog::Target {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
+        born: 0,
+        cold_ms: 0,
+        duty,
+        service: "board".into(),
+        slots: 2,
+        zone: "here".into(),
+    }
+}
+
+fn entry(id: u64, revision: u64, presence: catalog::Presence) -> catalog::Entry {
+    catalog::Entry {
+        id: key::Name(id),
+        presence,
+        revision,
+    }
+}
+
+fn present(id: u64, revision: u64) -> catalog::Entry {
+    entry(
+        id,
+        revision,
+        catalog::Presence::Present(details(catalog::Duty::Active)),
+    )
+}
+
+fn config(version: u64) -> catalog::Config {
+    catalog::Config {
+        idle_timeout_ms: 15_000,
+        routes: Vec::new(),
+        services: Vec::new(),
+        version,
+    }
+}
+
+fn whole(as_of: u64, version: u64, entries: Vec<catalog::Entry>) -> catalog::Delta {
+    catalog::Delta {
+        as_of,
+        config: Some(config(version)),
+        entries,
+        since: 0,
+        whole: true,
+    }
+}
+
+fn change(since: u64, as_of: u64, entries: Vec<catalog::Entry>) -> catalog::Delta {
+    catalog::Delta {
+        as_of,
+        config: None,
+        entries,
+        since,
+        whole: false,
+    }
+}
+
+fn standing(catalog: &beliefs::Catalog, id: u64) -> Option<beliefs::Standing> {
+    let key = catalog.find(key::Name(id))?;
+    catalog.targets.get(key).map(|record| record.presence)
+}
+
+fn loaded() -> beliefs::Catalog {
+    let mut catalog = beliefs::Catalog::default();
+    let facts = whole(5, 3, vec![present(1, 4), present(2, 5)]);
+    catalog.apply(at(0), &facts, at(0));
+    catalog
+}
+
+#[test]
+fn a_lower_version_or_revision_never_replaces_a_higher_one() {
+    let mut catalog = loaded();
+    catalog.apply(at(10), &whole(2, 2, vec![]), at(10));
+    assert_eq!((catalog.version(), catalog.as_of), (3, 5));
+    assert_eq!(standing(&catalog, 1), Some(beliefs::Standing::Present));
+    let old = entry(1, 3, catalog::Presence::Removed);
+    catalog.apply(at(20), &change(5, 6, vec![old]), at(20));
+    assert_eq!(standing(&catalog, 1), Some(beliefs::Standing::Present));
+}
+
+#[test]
+fn a_whole_reading_removes_what_it_does_not_name() {
+    let mut catalog = loaded();
+    catalog.apply(at(500), &whole(9, 3, vec![present(1, 4)]), at(500));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Removed));
+}
+
+#[test]
+fn a_registration_that_vanished_in_an_outage_has_a_grace() {
+    let mut catalog = loaded();
+    catalog.apply(at(8_000), &whole(9, 3, vec![present(1, 4)]), at(8_000));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Lapsed));
+    catalog.tick(at(9_900));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Lapsed));
+    catalog.tick(at(10_300));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Removed));
+    catalog.apply(at(10_400), &change(9, 11, vec![present(2, 11)]), at(10_400));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Present));
+}
+
+#[test]
+fn a_draining_target_that_vanished_in_an_outage_is_gone() {
+    let mut catalog = loaded();
+    let leaving = catalog::Presence::Present(details(catalog::Duty::Draining));
+    catalog.apply(at(100), &change(5, 6, vec![entry(2, 6, leaving)]), at(100));
+    catalog.apply(at(8_000), &whole(9, 3, vec![present(1, 4)]), at(8_000));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Removed));
+}
+
+#[test]
+fn a_removed_target_is_remembered_for_the_life_of_its_flows() {
+    let mut catalog = loaded();
+    let removed = entry(2, 6, catalog::Presence::Removed);
+    catalog.apply(at(100), &change(5, 6, vec![removed]), at(100));
+    catalog.tick(at(60_000));
+    assert!(standing(&catalog, 2).is_some());
+    catalog.tick(at(76_000));
+    assert_eq!(standing(&catalog, 2), None);
+    // An instance that still believes in it must get everything anew.
+    assert!(catalog.since(5).whole);
+    assert!(!catalog.since(6).whole);
+}
+
+#[test]
+fn an_unreadable_entry_takes_the_target_out_of_use() {
+    let mut catalog = loaded();
+    let broken = entry(2, 6, catalog::Presence::Unreadable);
+    catalog.apply(at(100), &change(5, 6, vec![broken]), at(100));
+    assert_eq!(standing(&catalog, 2), Some(beliefs::Standing::Unreadable));
+    assert_eq!(standing(&catalog, 1), Some(beliefs::Standing::Present));
+    let unknown = entry(3, 7, catalog::Presence::Unreadable);
+    catalog.apply(at(200), &change(6, 7, vec![unknown]), at(200));
+    assert_eq!(standing(&catalog, 3), None);
+}
+
+#[test]
+fn offers_carry_only_what_the_asker_lacks() {
+    let mut catalog = loaded();
+    catalog.apply(at(100), &change(5, 8, vec![present(3, 8)]), at(100));
+    let offer = catalog.since(5);
+    assert_eq!(offer.config, None);
+    assert_eq!(offer.entries.len(), 1);
+    assert_eq!(catalog.since(0).entries.len(), 3);
+    assert_eq!(catalog.since(0).config, Some(config(3)));
+}
+
+#[test]
+fn cookies_of_many_targets_differ() {
+    let mut seen = std::collections::HashSet::new();
+    let ids = (0..40_000u64).map(|number| key::Name(number * 0x9e37_79b9));
+    let distinct = ids.filter(|id| seen.insert(beliefs::cookie(*id))).count();
+    // A birthday among 40,000 of 2^32 leaves fewer than one pair on average.
+    assert!(distinct >= 39_995, "{distinct}");
+    assert!(!seen.contains(&snapshot::Cookie::NONE));
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7720))
+}
+
+/// Instances whose heartbeats and fetches reach each other at once.
+struct Fleet {
+    cores: Vec<core::Core>,
+    now: u64,
+}
+
+impl Fleet {
+    fn new(count: u8) -> Self {
+        let seeds = vec![address(0), address(1), address(99)];
+        let cores = (0..count)
+            .map(|number| {
+                let config = core::Config {
+                    address: address(number),
+                    incarnation: u64::from(number) + 1,
+                    name: format!("instance-{number}").into(),
+                    zone: if number % 2 == 0 { "here" } else { "there" }.into(),
+                };
+                let random = random::Source::new(u64::from(number));
+                core::Core::new(config, seeds.clone(), 1, random, at(0))
+            })
+            .collect();
+        Self { cores, now: 0 }
+    }
+
+    /// Lets time pass; `store` says which instances the publisher answers, with what revision.
+    fn run(&mut self, millis: u64, store: impl Fn(usize) -> Option<u64>) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 50;
+            for index in 0..self.cores.len() {
+                self.cores[index].tick(at(self.now));
+                if let Some(as_of) = store(index).filter(|_| self.cores[index].watching) {
+                    let facts = whole(as_of, as_of, vec![present(1, as_of)]);
+                    let origin = core::Origin::Publisher;
+                    let age = time::Duration::ZERO;
+                    self.cores[index].on_facts(at(self.now), &facts, age, origin);
+                }
+                self.deliver(index);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize) {
+        let outputs: Vec<core::Output> = self.cores[from].outputs().collect();
+        for output in outputs {
+            match output {
+                core::Output::Beat(to, beat) => self.beat(from, &to, &beat),
+                core::Output::Fetch(peer, since) => {
+                    let peer = self.index(peer).expect("a peer");
+                    let (delta, age_ms) = self.cores[peer].offer(at(self.now), since);
+                    let origin = core::Origin::Peer(address(peer as u8));
+                    let age = time::Duration::from_millis(u64::from(age_ms));
+                    self.cores[from].on_facts(at(self.now), &delta, age, origin);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn beat(&mut self, from: usize, to: &[SocketAddr], beat: &beat::Beat) {
+        for address_to in to {
+            if let Some(index) = self.index(*address_to) {
+                let now = at(self.now);
+                self.cores[index].on_beat(now, address(from as u8), beat.clone());
+            }
+        }
+    }
+
+    fn index(&self, address: SocketAddr) -> Option<usize> {
+        let position = |core: &core::Core| core.config.address == address;
+        self.cores.iter().position(position)
+    }
+
+    fn watchers(&self) -> usize {
+        self.cores.iter().filter(|core| core.watching).count()
+    }
+}
+
+#[test]
+fn instances_find_each_other_through_seeds_of_which_one_is_down() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(3_000, |_| Some(4));
+    for core in &fleet.cores {
+        assert_eq!(core.peers.alive(at(fleet.now)).count(), 7);
+        assert!(core.is_ready());
+    }
+}
+
+#[test]
+fn two_instances_watch_for_all() {
+    let mut fleet = Fleet::new(20);
+    fleet.run(5_000, |_| Some(4));
+    assert_eq!(fleet.watchers(), 2);
+    fleet.run(1_000, |_| Some(9));
+    assert!(fleet.cores.iter().all(|core| core.beliefs.as_of == 9));
+}
+
+#[test]
+fn others_take_over_when_the_publisher_turns_the_watchers_away() {
+    let mut fleet = Fleet::new(6);
+    fleet.run(4_000, |_| Some(4));
+    let refused: Vec<bool> = fleet.cores.iter().map(|core| core.watching).collect();
+    fleet.run(3_000, |index| (!refused[index]).then_some(9));
+    // The bound in which a change must be in force is three seconds.
+    assert!(fleet.cores.iter().all(|core| core.beliefs.as_of == 9));
+}
+
+#[test]
+fn an_instance_that_starts_while_the_publisher_is_down_learns_from_a_peer() {
+    let mut fleet = Fleet::new(3);
+    fleet.run(2_000, |_| Some(4));
+    let seeds = vec![address(0)];
+    let config = core::Config {
+        address: address(3),
+        incarnation: 77,
+        name: "late".into(),
+        zone: "here".into(),
+    };
+    let late = core::Core::new(config, seeds, 1, random::Source::new(5), at(fleet.now));
+    fleet.cores.push(late);
+    fleet.run(1_000, |_| None);
+    assert!(fleet.cores[3].is_ready());
+}
+
+#[test]
+fn a_stopping_watcher_hands_over_at_once() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(4_000, |_| Some(4));
+    let first = fleet.cores.iter().position(|core| core.watching);
+    let first = first.expect("a watcher");
+    let now = at(fleet.now);
+    fleet.cores[first].leave(now);
+    fleet.deliver(first);
+    fleet.run(500, |_| Some(4));
+    assert!(!fleet.cores[first].watching && !fleet.cores[first].is_ready());
+    assert_eq!(fleet.watchers(), 2);
+}
+
+#[test]
+fn a_zone_is_silent_only_when_all_its_instances_are() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(3_000, |_| Some(4));
+    let now = at(fleet.now + 1_500);
+    let peers = &fleet.cores[0].peers;
+    assert!(peers.is_zone_silent(now, &"there".into()));
+    assert!(!peers.is_zone_silent(at(fleet.now), &"there".into()));
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,8 @@
 //! Runner of the library's tests.
 
+mod cookie_beliefs;
 mod cookie_forward;
+mod cookie_settings;
 mod decoders;
 mod layers;
 mod limits;
