standin, daemon: stand-ins of the store and of echoing flows; eight tests of real processes

The tests cover any packet through any instance, a kill, a start while the store is down, lost history, draining, removal, forged cookies, planned stop, hang-up and the number of store calls.

--- /dev/null
+++ b/daemon/tests/cookie.rs
@@ -0,0 +1,287 @@
+//! Instances that forward by cookie, as processes, before stand-ins of the platform.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use quetzal_lib::transport::http;
+use quetzal_standin::{echo, store};
+use serde_json::json;
+
+/// Longest wait for a condition.
+const TIMEOUT: Duration = Duration::from_secs(15);
+const TRAFFIC_PORT: u16 = 8_172;
+const ROUTE_PORT: u16 = 8_443;
+
+/// Instances, targets and a store on their own block of addresses.
+struct Site {
+    block: u8,
+    children: Vec<Option<Child>>,
+    directory: PathBuf,
+    store: store::Store,
+}
+
+impl Site {
+    /// Starts the store with a route and two targets, and instances one after the other.
+    fn start(block: u8, instances: usize) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cookie-{block}"));
+        std::fs::create_dir_all(&directory).expect("a directory for the test");
+        let store = store::Store::start(SocketAddr::new(ip(block, 200).into(), 8_169));
+        let mut site = Self {
+            block,
+            children: (0..instances).map(|_| None).collect(),
+            directory,
+            store: store.expect("the store starts"),
+        };
+        site.configure(1, "board");
+        for number in 1..=2 {
+            site.add_target(number, "board");
+        }
+        for instance in 0..instances {
+            site.start_instance(instance);
+        }
+        site.wait("all ready", |site| {
+            (0..instances).all(|instance| site.is_ready(instance))
+        });
+        site
+    }
+
+    fn configure(&self, version: u64, service: &str) {
+        let route = json!({"name": "one", "host": self.route().ip().to_string(),
+            "prefix": format!("/{ROUTE_PORT}/"), "type": "safe", "service": service});
+        let services = [
+            json!({"name": "board", "maxConns": 2000}),
+            json!({"name": "archive", "maxConns": 2000}),
+        ];
+        let config = json!({"version": version, "routes": [route], "services": services,
+            "limits": {"idleTimeoutMs": 15000}});
+        self.store.put("op/config", &config);
+    }
+
+    fn add_target(&self, number: u8, service: &str) {
+        let address = SocketAddrV4::new(ip(self.block, 100 + number), 8_080);
+        echo::start_target(address, u64::from(number), TRAFFIC_PORT).expect("a target");
+        self.register(number, service, "ready");
+    }
+
+    fn register(&self, number: u8, service: &str, state: &str) {
+        let address = format!("{}:8080", ip(self.block, 100 + number));
+        let entry = json!({"service": service, "address": address, "zone": "here",
+            "version": "v1", "slots": 2, "state": state, "coldMs": 0, "seq": 1});
+        self.store.put(&format!("servers/{number:x}"), &entry);
+    }
+
+    fn start_instance(&mut self, instance: usize) {
+        let own = ip(self.block, 1 + instance as u8);
+        let (seed, store) = (ip(self.block, 1), ip(self.block, 200));
+        let text = format!(
+            "[fabric]\nformat = cookie\n[instance]\ncontrol = {own}:7720\nmetrics = {own}:9464\n\
+             name = instance-{instance}\nstatus = {own}:8167\ntraffic = {own}:{TRAFFIC_PORT}\n\
+             zone = here\n[keys]\ncurrent = 1:5f0e2b7d94c8a1360d5e7f29b3c4a881\n\
+             flow = 9b1d4e6fa2c7035881f3d6b20c9e47a5\n[log]\nformat = json\n[peers]\n\
+             seeds = {seed}:8166\n[platform]\naddress = {store}:8169\nwatch = 2s\n"
+        );
+        let file = self.directory.join(format!("{instance}.ini"));
+        std::fs::write(&file, text).expect("settings written");
+        let log = std::fs::File::create(self.directory.join(format!("{instance}.log")));
+        let child = Command::new(env!("CARGO_BIN_EXE_quetzald"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::from(log.expect("a log file")))
+            .spawn();
+        self.children[instance] = Some(child.expect("an instance starts"));
+    }
+
+    fn signal(&self, instance: usize, signal: Signal) {
+        let child = self.children[instance]
+            .as_ref()
+            .expect("a running instance");
+        signal::kill(Pid::from_raw(child.id() as i32), signal).expect("a signal sent");
+    }
+
+    fn traffic(&self, instance: usize) -> SocketAddr {
+        SocketAddr::new(ip(self.block, 1 + instance as u8).into(), TRAFFIC_PORT)
+    }
+
+    fn page(&self, instance: usize, path: &str) -> Option<String> {
+        let address = SocketAddr::new(ip(self.block, 1 + instance as u8).into(), 8_167);
+        http::get(address, path).ok()
+    }
+
+    fn is_ready(&self, instance: usize) -> bool {
+        self.page(instance, "/ready").is_some()
+    }
+
+    fn log(&self, instance: usize) -> String {
+        let file = self.directory.join(format!("{instance}.log"));
+        std::fs::read_to_string(file).expect("a log")
+    }
+
+    fn route(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(198, 18, self.block, 1), ROUTE_PORT)
+    }
+
+    fn caller(&self, number: u8) -> echo::Caller {
+        let ip = ip(self.block, 150 + number);
+        echo::Caller::new(ip, TRAFFIC_PORT, self.route()).expect("a caller")
+    }
+
+    fn wait(&mut self, what: &str, mut is_met: impl FnMut(&mut Self) -> bool) {
+        let start = Instant::now();
+        while !is_met(self) {
+            assert!(start.elapsed() < TIMEOUT, "not within {TIMEOUT:?}: {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Whether new flows through an instance go to a target.
+    fn places_on(&self, caller: &mut echo::Caller, instance: usize, target: u64) -> bool {
+        (0..8).any(|_| {
+            caller.open(self.traffic(instance)) == echo::Outcome::Opened
+                && caller.request(self.traffic(instance)) == echo::Outcome::Answered(target)
+        })
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn ip(block: u8, host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 77, block, host)
+}
+
+#[test]
+fn any_instance_forwards_any_flow_also_after_a_kill() {
+    let mut site = Site::start(1, 3);
+    let mut caller = site.caller(1);
+    assert_eq!(caller.open(site.traffic(0)), echo::Outcome::Opened);
+    let first = caller.request(site.traffic(0));
+    assert!(matches!(first, echo::Outcome::Answered(_)));
+    assert_eq!(caller.request(site.traffic(1)), first);
+    site.signal(0, Signal::SIGKILL);
+    assert_eq!(caller.request(site.traffic(2)), first);
+    // A new process knows nothing of the flow but its cookie.
+    site.children[0]
+        .take()
+        .expect("a child")
+        .wait()
+        .expect("its end");
+    site.start_instance(0);
+    site.wait("ready again", |site| site.is_ready(0));
+    assert_eq!(caller.request(site.traffic(0)), first);
+}
+
+#[test]
+fn a_draining_target_keeps_its_flow_and_a_new_one_takes_new_flows() {
+    let mut site = Site::start(2, 2);
+    let mut caller = site.caller(1);
+    assert_eq!(caller.open(site.traffic(0)), echo::Outcome::Opened);
+    let echo::Outcome::Answered(before) = caller.request(site.traffic(0)) else {
+        panic!("no answer");
+    };
+    site.add_target(3, "board");
+    site.register(before as u8, "board", "draining");
+    let mut other = site.caller(2);
+    site.wait("new flows on the new target only", |site| {
+        site.places_on(&mut other, 1, 3) && !site.places_on(&mut other, 1, before)
+    });
+    assert_eq!(
+        caller.request(site.traffic(1)),
+        echo::Outcome::Answered(before)
+    );
+}
+
+#[test]
+fn cookies_that_were_not_given_lead_nowhere() {
+    let site = Site::start(3, 1);
+    let mut caller = site.caller(1);
+    assert_eq!(caller.open(site.traffic(0)), echo::Outcome::Opened);
+    caller.forge(0x1234_5678);
+    assert_eq!(caller.request(site.traffic(0)), echo::Outcome::Silence);
+    assert!(site.log(0).contains("no target has the cookie"));
+}
+
+#[test]
+fn an_instance_that_starts_while_the_store_is_down_serves() {
+    let mut site = Site::start(4, 2);
+    site.store.set_mode(store::Mode::Busy);
+    site.signal(1, Signal::SIGKILL);
+    site.children[1]
+        .take()
+        .expect("a child")
+        .wait()
+        .expect("its end");
+    site.start_instance(1);
+    site.wait("ready from a peer", |site| site.is_ready(1));
+    let mut caller = site.caller(1);
+    assert_eq!(caller.open(site.traffic(1)), echo::Outcome::Opened);
+}
+
+#[test]
+fn lost_history_is_read_anew() {
+    let mut site = Site::start(5, 2);
+    site.store.compact();
+    site.add_target(3, "board");
+    let mut caller = site.caller(1);
+    for instance in 0..2 {
+        site.wait("the new target in use", |site| {
+            site.places_on(&mut caller, instance, 3)
+        });
+    }
+}
+
+#[test]
+fn a_planned_stop_goes_on_forwarding_and_a_hangup_ends_nothing() {
+    let mut site = Site::start(6, 2);
+    site.signal(1, Signal::SIGHUP);
+    let mut caller = site.caller(1);
+    assert_eq!(caller.open(site.traffic(1)), echo::Outcome::Opened);
+    site.signal(1, Signal::SIGTERM);
+    site.wait("not ready", |site| !site.is_ready(1));
+    assert!(matches!(
+        caller.request(site.traffic(1)),
+        echo::Outcome::Answered(_)
+    ));
+    let start = Instant::now();
+    let status = site.children[1].take().expect("a child").wait();
+    assert!(status.expect("its end").success());
+    // The platform's pages give a process six seconds.
+    assert!(start.elapsed() < Duration::from_secs(6));
+    assert!(matches!(
+        caller.request(site.traffic(0)),
+        echo::Outcome::Answered(_)
+    ));
+}
+
+#[test]
+fn a_removed_target_gets_no_new_flow() {
+    let mut site = Site::start(7, 1);
+    let mut caller = site.caller(1);
+    assert!(site.places_on(&mut caller, 0, 1));
+    site.store.remove("servers/1");
+    let mut other = site.caller(2);
+    site.wait("no new flow on the removed target", |site| {
+        !site.places_on(&mut other, 0, 1)
+    });
+}
+
+#[test]
+fn the_store_is_called_by_two_watchers_only() {
+    let site = Site::start(8, 5);
+    std::thread::sleep(Duration::from_secs(4));
+    let before = site.store.calls();
+    std::thread::sleep(Duration::from_secs(4));
+    // Two watchers with watches of two seconds, and one call that straddles each end.
+    let calls = site.store.calls() - before;
+    assert!(calls <= 6, "{calls} calls in 4 s");
+}
--- /dev/null
+++ b/standin/src/echo.rs
@@ -0,0 +1,206 @@
+//! Stand-ins of targets and callers whose packets carry a cookie back.
+//!
+//! They know just enough of the flows to see where a packet goes: a target answers a first packet
+//! and every request, and names itself in its answers.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::time::Duration;
+
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+const HEADER_BYTES: usize = 36;
+const MAX_BYTES: usize = 2_048;
+const SYN: u8 = 128;
+const ACK: u8 = 32;
+const RST: u8 = 4;
+
+/// One packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Packet {
+    /// Acknowledgement, or the number of copies in a first packet.
+    pub ack: u32,
+    /// Receiver.
+    pub destination: SocketAddrV4,
+    /// The cookie.
+    pub echo: u32,
+    /// Flags.
+    pub flags: u8,
+    /// Data.
+    pub data: Vec<u8>,
+    /// Sequence number.
+    pub seq: u32,
+    /// Sender.
+    pub source: SocketAddrV4,
+}
+
+impl Packet {
+    fn write(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(HEADER_BYTES + self.data.len());
+        bytes.extend_from_slice(&(self.data.len() as u16).to_be_bytes());
+        bytes.extend_from_slice(&self.seq.to_be_bytes());
+        bytes.extend_from_slice(&self.ack.to_be_bytes());
+        bytes.extend_from_slice(&[0xa1, 0xb2, 0xc3, 0xd5]);
+        bytes.extend_from_slice(&self.source.port().to_be_bytes());
+        bytes.extend_from_slice(&self.source.ip().octets());
+        bytes.extend_from_slice(&self.destination.ip().octets());
+        bytes.extend_from_slice(&self.destination.port().to_be_bytes());
+        bytes.extend_from_slice(&self.echo.to_be_bytes());
+        bytes.push(self.flags);
+        bytes.extend_from_slice(&[0; 5]);
+        bytes.extend_from_slice(&self.data);
+        bytes
+    }
+
+    fn read(bytes: &[u8]) -> Option<Self> {
+        let header: &[u8; HEADER_BYTES] = bytes.first_chunk()?;
+        let short = |at: usize| u16::from_be_bytes([header[at], header[at + 1]]);
+        let long = |at: usize| (u32::from(short(at)) << 16) | u32::from(short(at + 2));
+        let address =
+            |ip: usize, port: usize| SocketAddrV4::new(Ipv4Addr::from(long(ip)), short(port));
+        Some(Self {
+            ack: long(6),
+            data: bytes[HEADER_BYTES..].to_vec(),
+            destination: address(20, 24),
+            echo: long(26),
+            flags: header[30],
+            seq: long(2),
+            source: address(16, 14),
+        })
+    }
+}
+
+/// Runs a target on a thread: packets for another identity get no answer.
+pub fn start_target(address: SocketAddrV4, id: u64, caller_port: u16) -> std::io::Result<()> {
+    let socket = UdpSocket::bind(address)?;
+    std::thread::spawn(move || {
+        let mut buffer = [0; MAX_BYTES];
+        let mut open = std::collections::HashSet::new();
+        while let Ok((length, _)) = socket.recv_from(&mut buffer) {
+            let Some((named, packet)) = buffer[..length].split_first_chunk() else {
+                continue;
+            };
+            if u64::from_be_bytes(*named) != id {
+                continue;
+            }
+            let Some(packet) = Packet::read(packet) else {
+                continue;
+            };
+            let answer = answer(&packet, id, &mut open);
+            let to = SocketAddrV4::new(*packet.source.ip(), caller_port);
+            // A caller that is gone takes no answer.
+            let _ = socket.send_to(&answer.write(), to);
+        }
+    });
+    Ok(())
+}
+
+fn answer(packet: &Packet, id: u64, open: &mut std::collections::HashSet<SocketAddrV4>) -> Packet {
+    let (flags, data) = if packet.flags & SYN != 0 {
+        open.insert(packet.source);
+        (SYN | ACK, Vec::new())
+    } else if open.contains(&packet.source) {
+        (ACK, id.to_be_bytes().to_vec())
+    } else {
+        (RST, Vec::new())
+    };
+    Packet {
+        ack: packet.seq.wrapping_add(packet.data.len() as u32),
+        data,
+        destination: packet.source,
+        echo: packet.echo,
+        flags,
+        seq: packet.ack,
+        source: packet.destination,
+    }
+}
+
+/// A caller with one flow at a time.
+pub struct Caller {
+    echo: u32,
+    route: SocketAddrV4,
+    seq: u32,
+    socket: UdpSocket,
+    source: SocketAddrV4,
+}
+
+/// What a caller got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Answer of the target with an identity.
+    Answered(u64),
+    /// The flow opened.
+    Opened,
+    /// A reset.
+    Reset,
+    /// Nothing in time.
+    Silence,
+}
+
+impl Caller {
+    /// A caller at an address, to which answers come at a port, for a route.
+    pub fn new(ip: Ipv4Addr, answer_port: u16, route: SocketAddrV4) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind((ip, answer_port))?;
+        socket.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        Ok(Self {
+            echo: 0,
+            route,
+            seq: 0,
+            socket,
+            source: SocketAddrV4::new(ip, 40_000),
+        })
+    }
+
+    /// Begins a new flow through an instance.
+    pub fn open(&mut self, instance: SocketAddr) -> Outcome {
+        self.source.set_port(self.source.port() + 1);
+        self.echo = 0;
+        self.seq = 1;
+        self.exchange(instance, SYN, Vec::new())
+    }
+
+    /// Sends a request on the flow through an instance.
+    pub fn request(&mut self, instance: SocketAddr) -> Outcome {
+        let outcome = self.exchange(instance, ACK, vec![7; 100]);
+        self.seq += 100;
+        outcome
+    }
+
+    /// Sets the cookie that is sent next.
+    pub fn forge(&mut self, echo: u32) {
+        self.echo = echo;
+    }
+
+    fn exchange(&mut self, instance: SocketAddr, flags: u8, data: Vec<u8>) -> Outcome {
+        let packet = Packet {
+            ack: 0,
+            data,
+            destination: self.route,
+            echo: self.echo,
+            flags,
+            seq: self.seq,
+            source: self.source,
+        };
+        if self.socket.send_to(&packet.write(), instance).is_err() {
+            return Outcome::Silence;
+        }
+        let mut buffer = [0; MAX_BYTES];
+        while let Ok((length, _)) = self.socket.recv_from(&mut buffer) {
+            let Some(answer) = Packet::read(&buffer[..length]) else {
+                continue;
+            };
+            // An answer to a former flow came late.
+            if answer.destination != self.source {
+                continue;
+            }
+            if answer.flags & RST != 0 {
+                return Outcome::Reset;
+            }
+            self.echo = answer.echo;
+            return match answer.data.first_chunk() {
+                Some(id) => Outcome::Answered(u64::from_be_bytes(*id)),
+                None => Outcome::Opened,
+            };
+        }
+        Outcome::Silence
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod caller;
 pub mod demo;
 pub mod deployment;
+pub mod echo;
 pub mod fabric;
 pub mod platform;
 pub mod stack;
+pub mod store;
 pub mod target;
--- /dev/null
+++ b/standin/src/store.rs
@@ -0,0 +1,138 @@
+//! Stand-in of the users' metadata store: items with revisions, pages, watches, and its failures.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use quetzal_lib::protocol::fault;
+use quetzal_lib::transport::page;
+use serde_json::{Value, json};
+
+/// Time between looks for changes of a waiting watch.
+const WATCH_STEP: Duration = Duration::from_millis(20);
+/// Items in one page.
+const PAGE_ITEMS: usize = 50;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// With 503.
+    Busy,
+    /// As it should.
+    #[default]
+    Up,
+}
+
+#[derive(Default)]
+struct State {
+    calls: u64,
+    floor: u64,
+    history: Vec<(u64, Value)>,
+    items: BTreeMap<String, Value>,
+    mode: Mode,
+    revision: u64,
+}
+
+/// A running store.
+#[derive(Clone, Default)]
+pub struct Store(Arc<Mutex<State>>);
+
+impl Store {
+    /// Starts a store. Errors are `SocketUnavailable`.
+    pub fn start(address: SocketAddr) -> fault::Result<Self> {
+        let store = Self::default();
+        let served = store.clone();
+        page::serve(&[address], Arc::new(move |request| served.answer(request)))?;
+        Ok(store)
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let text = STANDARD.encode(value.to_string());
+        let item = json!({"key": key, "value": text, "rev": revision, "created": revision});
+        state.items.insert(key.to_owned(), item.clone());
+        state.history.push((revision, item));
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        let event = json!({"key": key, "rev": revision, "deleted": true});
+        state.history.push((revision, event));
+    }
+
+    /// Changes how the store answers.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state().mode = mode;
+    }
+
+    /// Forgets the history, so that watches from before get 410.
+    pub fn compact(&self) {
+        let mut state = self.state();
+        state.history.clear();
+        state.floor = state.revision + 1;
+        state.revision += 1;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, request: &page::Request) -> page::Reply {
+        let mut state = self.state();
+        if request.waited.is_zero() {
+            state.calls += 1;
+        }
+        if state.mode == Mode::Busy {
+            return page::text(503, "");
+        }
+        match request.path.as_str() {
+            "/quetzalspur/kv-range" => page::json(&state.range(request.value("after"))),
+            "/quetzalspur/kv-watch" => state.watch(request),
+            _ => page::text(404, ""),
+        }
+    }
+}
+
+impl State {
+    fn range(&self, after: Option<&str>) -> Value {
+        let after = after.unwrap_or("").replace("%2F", "/").replace("%2D", "-");
+        let later = self.items.iter().filter(|(key, _)| **key > after);
+        let mut items: Vec<&Value> = later.map(|(_, item)| item).collect();
+        let more = items.len() > PAGE_ITEMS;
+        items.truncate(PAGE_ITEMS);
+        json!({"items": items, "hasMore": more, "asOf": self.revision})
+    }
+
+    fn watch(&self, request: &page::Request) -> page::Reply {
+        let number = |name| request.value(name).and_then(|text| text.parse().ok());
+        let after: u64 = number("after").unwrap_or(0);
+        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+        if after < self.floor {
+            return page::text(410, "");
+        }
+        let changes = self
+            .history
+            .iter()
+            .filter(|(revision, _)| *revision > after);
+        let events: Vec<&Value> = changes.map(|(_, event)| event).collect();
+        if events.is_empty() && request.waited < wait {
+            return page::Reply::Later(WATCH_STEP);
+        }
+        page::json(&json!({"events": events, "asOf": self.revision}))
+    }
+}
