--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use quetzal_lib::protocol::{fault, settings, sheet};
+use quetzal_lib::protocol::{cookie_settings, fault, settings, sheet};
 use quetzal_lib::transport::files;
 
 use crate::context;
@@ -31,7 +31,12 @@
 
 fn check(path: &Path) -> fault::Result<()> {
     if path.extension().is_some_and(|extension| extension == "ini") {
-        return settings::parse(&path.to_string_lossy(), &files::read(path)?).map(drop);
+        let (file, text) = (path.to_string_lossy(), files::read(path)?);
+        return if cookie_settings::is_format(&text) {
+            cookie_settings::parse(&file, &text).map(drop)
+        } else {
+            settings::parse(&file, &text).map(drop)
+        };
     }
     sheet::accept(&files::read_sheet(path, 1)?, None).map(drop)
 }
--- a/cli/tests/files.rs
+++ b/cli/tests/files.rs
@@ -12,6 +12,7 @@
         "examples/guild/instance-0.ini",
         "examples/bureau/sheet",
         "examples/bureau/instance-0.ini",
+        "examples/cookie/instance-0.ini",
     ]);
     insta::assert_snapshot!(text);
 }
@@ -31,6 +32,7 @@
         .expect("the example");
     let cases = [
         ("unknown.ini", good.replace("stop_delay =", "stop_dealy =")),
+        ("format.ini", format!("{good}\n[fabric]\nformat = ipx\n")),
         ("section.ini", good.replace("[limits]", "[limit]")),
         (
             "value.ini",
--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -165,11 +165,6 @@
         self.beliefs.is_complete() && !self.leaving
     }
 
-    /// Whether this instance has announced its stop.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
-    }
-
     /// Whether the publisher answered last; none if it was never asked.
     pub fn is_publisher_reachable(&self) -> Option<bool> {
         self.reachable
@@ -473,7 +468,6 @@
         }
         self.generation += 1;
         let cookies = cookies.into_iter().map(|(cookie, (_, key))| (cookie, key));
-        let silent = |zone: &CompactString| self.peers.is_zone_silent(now, zone);
         self.snapshot = Arc::new(snapshot::Snapshot {
             age,
             as_of: self.beliefs.as_of,
@@ -482,7 +476,6 @@
             generation: self.generation,
             routes,
             services: by_service,
-            silent_zones: self.zones.iter().map(silent).collect(),
             strict: now.since(self.started) >= HISTORY,
             targets,
             version: self.beliefs.version(),
--- a/lib/src/coordination/cookie/peers.rs
+++ b/lib/src/coordination/cookie/peers.rs
@@ -25,8 +25,6 @@
 const FAR_FANOUT: usize = 6;
 /// Peers named in a heartbeat.
 const NAMED_PEERS: usize = 6;
-/// Instances of a zone that must have been heard before its silence says anything.
-const RECENT: time::Duration = time::Duration::from_secs(20);
 
 /// One peer.
 #[derive(Clone, Debug)]
@@ -192,21 +190,6 @@
             .filter(move |(_, peer)| peer.is_alive(now))
     }
 
-    /// Whether a zone has instances of which all have fallen silent without saying that they stop.
-    pub fn is_zone_silent(&self, now: time::Instant, zone: &CompactString) -> bool {
-        let mut silent = false;
-        for (_, peer) in self.known.iter() {
-            if peer.beat.zone != *zone || peer.beat.leaving || now.since(peer.heard) >= RECENT {
-                continue;
-            }
-            if peer.is_alive(now) {
-                return false;
-            }
-            silent = true;
-        }
-        silent
-    }
-
     /// Where the next heartbeat goes.
     pub fn recipients(
         &mut self,
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -46,10 +46,22 @@
     pub zone: CompactString,
 }
 
+/// Form of the fabric's packets in these settings.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Form {
+    /// Whole IP packets.
+    #[default]
+    Ip,
+}
+
 /// The fabric.
 #[serde_with::serde_as]
 #[derive(Clone, Debug, Deserialize)]
 pub struct Fabric {
+    /// Form of packets.
+    #[serde(default)]
+    pub format: Form,
     /// Where encapsulated packets to callers go.
     #[serde_as(as = "DisplayFromStr")]
     pub return_address: SocketAddr,
@@ -154,7 +166,7 @@
 const LAYOUT: ini::Layout = &[
     (
         "fabric",
-        &[("format", "ip"), ("return_address", ini::ADDRESS)],
+        &[("format", "ip, cookie"), ("return_address", ini::ADDRESS)],
     ),
     (
         "instance",
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -128,8 +128,6 @@
     pub routes: Arc<HashMap<SocketAddrV4, Route>>,
     /// Targets that take new flows, by service.
     pub services: Vec<Vec<key::Target>>,
-    /// Zones whose instances have all fallen silent, by zone.
-    pub silent_zones: Vec<bool>,
     /// Whether every service is known to which a living flow of a route can have been led.
     pub strict: bool,
     /// Targets by key.
@@ -147,12 +145,4 @@
     pub fn target(&self, key: key::Target) -> Option<&Target> {
         self.targets.get(key.index())?.as_ref()
     }
-
-    /// Whether all instances of a zone have fallen silent.
-    pub fn is_silent(&self, zone: key::Zone) -> bool {
-        self.silent_zones
-            .get(zone.index())
-            .copied()
-            .unwrap_or(false)
-    }
 }
--- a/lib/src/transport/cookie/journal.rs
+++ b/lib/src/transport/cookie/journal.rs
@@ -99,7 +99,7 @@
                 "standing" => ?record.presence, "duty" => ?record.details.duty,
                 "address" => %record.details.address,
                 "service" => record.details.service.as_str(),
-                "zone" => record.details.zone.as_str(),
+                "target_zone" => record.details.zone.as_str(),
                 "revision" => record.revision, "age_ms" => age, "from" => origin);
         }
     }
@@ -113,7 +113,7 @@
     };
     if let Some(peer) = core.peers.known.get(key) {
         slog::info!(log, "peer"; "peer" => peer.beat.name.as_str(), "address" => %peer.address,
-            "state" => state, "zone" => peer.beat.zone.as_str(),
+            "state" => state, "peer_zone" => peer.beat.zone.as_str(),
             "silent_ms" => millis(now.since(peer.heard)), "as_of" => peer.beat.as_of);
     }
 }
--- a/lib/tests/cookie_beliefs.rs
+++ b/lib/tests/cookie_beliefs.rs
@@ -306,13 +306,3 @@
     assert!(!fleet.cores[first].watching && !fleet.cores[first].is_ready());
     assert_eq!(fleet.watchers(), 2);
 }
-
-#[test]
-fn a_zone_is_silent_only_when_all_its_instances_are() {
-    let mut fleet = Fleet::new(4);
-    fleet.run(3_000, |_| Some(4));
-    let now = at(fleet.now + 1_500);
-    let peers = &fleet.cores[0].peers;
-    assert!(peers.is_zone_silent(now, &"there".into()));
-    assert!(!peers.is_zone_silent(at(fleet.now), &"there".into()));
-}
--- a/lib/tests/cookie_forward.rs
+++ b/lib/tests/cookie_forward.rs
@@ -59,7 +59,6 @@
             fresh: true,
             generation: 1,
             routes: Arc::new(HashMap::from([(route_address(), route)])),
-            silent_zones: vec![false; 2],
             version: 1,
             zone: Some(HERE),
             zones: Arc::new(vec!["here".into(), "there".into()]),
@@ -341,3 +340,46 @@
     let packet = data(ports[0], fixture.cookie(key), 1, 0, 10);
     assert_eq!(fixture.steer(950, &packet), forward::Verdict::Forward(key));
 }
+
+/// The registration of the target is gone for good, so the request cannot be under way.
+#[test]
+fn a_request_on_an_ended_target_is_reset_though_it_was_forwarded() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let (dead, ports, other) = crowd(&mut fixture);
+    stall(&mut fixture, dead, &ports, other);
+    let target = fixture.snapshot.targets[dead.index()].as_mut();
+    target.expect("a target").usage = snapshot::Use::Ended;
+    let packet = data(ports[0], fixture.cookie(dead), 1, 0, 10);
+    assert_eq!(fixture.steer(950, &packet), forward::Verdict::Reset);
+}
+
+/// Two flows at most on each target, so that the third has nowhere to go.
+#[test]
+fn a_service_without_room_refuses_at_once() {
+    let mut targets = vec![target(1, BOARD, HERE)];
+    targets[0].connections = 2;
+    let mut fixture = Fixture::new(catalog::Kind::Once, &targets);
+    fixture.open(0, 4_000);
+    fixture.open(0, 4_001);
+    assert_eq!(fixture.steer(1, &first(4_002, 0)), forward::Verdict::Reset);
+}
+
+#[test]
+fn new_flows_stay_in_the_zone_until_it_is_clearly_more_loaded() {
+    let mut fixture = Fixture::new(catalog::Kind::Once, &two_zones());
+    let placed: Vec<key::Target> = (4_000..4_040).map(|port| fixture.open(0, port)).collect();
+    let on = |key: u32| placed.iter().filter(|found| found.0 == key).count();
+    assert!(on(0).abs_diff(on(1)) <= 1, "{placed:?}");
+    assert!(on(2) > 0 && on(2) < on(0), "{placed:?}");
+    assert!(placed[..2].iter().all(|found| found.0 < 2), "{placed:?}");
+}
+
+#[test]
+fn a_cold_target_gets_fewer_flows() {
+    let mut targets = vec![target(1, BOARD, HERE), target(2, BOARD, HERE)];
+    targets[1].cold_until = at(10_000);
+    let mut fixture = Fixture::new(catalog::Kind::Once, &targets);
+    let placed: Vec<key::Target> = (4_000..4_030).map(|port| fixture.open(0, port)).collect();
+    let on = |key: u32| placed.iter().filter(|found| found.0 == key).count();
+    assert!(on(1) * 3 < on(0) * 2, "{placed:?}");
+}
