--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -19,7 +19,7 @@
 /// Period of the control decisions.
 const TICK: time::Duration = time::Duration::from_millis(100);
 /// Time between published states for operators.
-const STATUS_INTERVAL: time::Duration = time::Duration::from_millis(500);
+const STATUS_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time between looks at the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// Sender of frames whose receivers go by the address they come from.
