coordination: a service of which everything vanished at once stays in use for 2.3 s

Cause: entries may lapse in an outage too short to be noticed; every new flow was then refused. Test seen failing without the change.

--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -35,6 +35,9 @@
 /// Time after which this instance has seen every configuration under which a living flow can have been
 /// opened; the longest life of a flow, 60 s, and a margin.
 const HISTORY: time::Duration = time::Duration::from_secs(65);
+/// Time for which a service of which nothing is registered any more keeps its former targets; a living
+/// one registers again within about two seconds, and three are the bound for new flows.
+const VANISHED_FOR: time::Duration = time::Duration::from_millis(2_300);
 /// Longest wait for a fetch from a peer before another may begin.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -466,6 +469,7 @@
                 zone,
             });
         }
+        self.keep_vanished(now, &targets, &mut by_service);
         self.generation += 1;
         let cookies = cookies.into_iter().map(|(cookie, (_, key))| (cookie, key));
         self.snapshot = Arc::new(snapshot::Snapshot {
@@ -486,6 +490,34 @@
             .push(Output::Publish(Arc::clone(&self.snapshot)));
     }
 
+    /// Keeps a service in use whose registrations have all just vanished: they more likely lapsed
+    /// together than ended together.
+    fn keep_vanished(
+        &self,
+        now: time::Instant,
+        targets: &[Option<snapshot::Target>],
+        by_service: &mut Vec<Vec<key::Target>>,
+    ) {
+        by_service.resize(by_service.len().max(self.services.len()), Vec::new());
+        let vanished = self.beliefs.targets.iter().filter(|(_, record)| {
+            let gone = record.missing_since.map(|since| now.since(since));
+            record.presence == beliefs::Standing::Removed
+                && record.details.duty == catalog::Duty::Active
+                && gone.is_some_and(|gone| gone < VANISHED_FOR)
+        });
+        let mut kept = vec![Vec::new(); by_service.len()];
+        for (key, _) in vanished {
+            if let Some(target) = &targets[key.index()] {
+                kept[target.service.index()].push(key);
+            }
+        }
+        for (present, kept) in by_service.iter_mut().zip(kept) {
+            if present.is_empty() {
+                *present = kept;
+            }
+        }
+    }
+
     fn usage(&self, now: time::Instant, record: &beliefs::Record, fresh: bool) -> snapshot::Use {
         let gone_for = record.missing_since.map(|since| now.since(since));
         match record.presence {
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -221,17 +221,8 @@
     settings: &cookie_settings::Settings,
     status: Arc<ArcSwap<status::Status>>,
 ) -> fault::Result<()> {
-    let handler: page::Handler = Arc::new(move |request| {
-        let status = status.load();
-        match request.path.as_str() {
-            "/live" => page::text(200, "live\n"),
-            "/ready" if status.ready => page::text(200, "ready\n"),
-            "/ready" => page::text(503, format!("{}\n", code::Code::NotReady)),
-            "/status" => page::json(&**status),
-            "/metrics" => page::text(200, status::metrics(&status)),
-            _ => page::text(404, format!("{}\n", code::Code::NotFound)),
-        }
-    });
+    let handler: page::Handler =
+        Arc::new(move |request| node::status_page(&status.load(), &request.path));
     page::serve(
         &[settings.instance.status, settings.instance.metrics],
         handler,
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -309,15 +309,22 @@
     let handler: page::Handler = Arc::new(move |request| {
         let status = status.load();
         match request.path.as_str() {
-            "/live" => page::text(200, "live\n"),
-            "/ready" if status.ready => page::text(200, "ready\n"),
-            "/ready" => page::text(503, format!("{}\n", code::Code::NotReady)),
-            "/status" => page::json(&**status),
             "/burn" => page::json(&**burn.load()),
-            "/metrics" => page::text(200, status::metrics(&status)),
             "/flow" => lookup::answer(request, secret, &view.load(), &threads),
-            _ => page::text(404, format!("{}\n", code::Code::NotFound)),
+            path => status_page(&status, path),
         }
     });
     page::serve(&[settings.instance.status], handler)
 }
+
+/// The pages that every instance has.
+pub fn status_page(status: &status::Status, path: &str) -> page::Reply {
+    match path {
+        "/live" => page::text(200, "live\n"),
+        "/ready" if status.ready => page::text(200, "ready\n"),
+        "/ready" => page::text(503, format!("{}\n", code::Code::NotReady)),
+        "/status" => page::json(status),
+        "/metrics" => page::text(200, status::metrics(status)),
+        _ => page::text(404, format!("{}\n", code::Code::NotFound)),
+    }
+}
--- a/lib/tests/cookie_beliefs.rs
+++ b/lib/tests/cookie_beliefs.rs
@@ -306,3 +306,19 @@
     assert!(!fleet.cores[first].watching && !fleet.cores[first].is_ready());
     assert_eq!(fleet.watchers(), 2);
 }
+
+/// Entries that lapse together in an outage that is too short to be noticed leave a service in use.
+#[test]
+fn a_service_of_which_everything_vanished_at_once_stays_in_use_for_a_while() {
+    let mut fleet = Fleet::new(1);
+    fleet.run(1_000, |_| Some(4));
+    let removed = entry(1, 6, catalog::Presence::Removed);
+    let facts = change(4, 6, vec![removed]);
+    let now = at(fleet.now);
+    let origin = core::Origin::Publisher;
+    fleet.cores[0].on_facts(now, &facts, time::Duration::ZERO, origin);
+    let in_use = |core: &core::Core| core.snapshot.services.iter().flatten().count();
+    assert_eq!(in_use(&fleet.cores[0]), 1);
+    fleet.run(3_000, |_| None);
+    assert_eq!(in_use(&fleet.cores[0]), 0);
+}
