--- /dev/null
+++ b/lib/tests/cookie_property.rs
@@ -0,0 +1,277 @@
+//! Schedules of callers, losses and dying targets: flows of living targets are never reset, and every
+//! packet goes to the target that its cookie names.
+
+use std::collections::{BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use quetzal_lib::coordination::cookie::{catalog as beliefs, forward};
+use quetzal_lib::coordination::hash;
+use quetzal_lib::state::{catalog, key, packet, random, segment, snapshot, time};
+
+const TARGETS: u64 = 8;
+const FLOWS: u16 = 60;
+const END_MS: u64 = 12_000;
+/// Longest time that a target in good order takes: a full queue before the longest request.
+const MAX_SERVICE_MS: usize = 400;
+/// Waits of a caller before it sends data again.
+const REPEATS_MS: [u64; 4] = [200, 600, 1_400, 3_000];
+/// Part of the packets that are lost, in per mille.
+const LOST: usize = 10;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Action {
+    Answer,
+    Begin,
+    Open,
+    Repeat(usize),
+}
+
+/// One caller with a flow of its own.
+#[derive(Clone, Copy, Debug, Default)]
+struct Caller {
+    acknowledged: u32,
+    cookie: snapshot::Cookie,
+    /// Number of the request, so that what belongs to a former one is ignored.
+    request: u32,
+    sequence: u32,
+    target: Option<key::Target>,
+    waiting: bool,
+}
+
+struct Run {
+    callers: Vec<Caller>,
+    dies_at: Vec<u64>,
+    queue: BinaryHeap<std::cmp::Reverse<(u64, u16, u32, Action)>>,
+    random: random::Source,
+    resets: usize,
+    shard: forward::Shard,
+    snapshot: snapshot::Snapshot,
+}
+
+fn route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+fn snapshot(kind: catalog::Kind) -> snapshot::Snapshot {
+    let targets: Vec<Option<snapshot::Target>> = (0..TARGETS)
+        .map(|number| {
+            let id = key::Name(number + 1);
+            Some(snapshot::Target {
+                address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8), 80),
+                cold_until: time::Instant(0),
+                connections: 100,
+                cookie: beliefs::cookie(id),
+                elsewhere: snapshot::Count::default(),
+                id,
+                progressed: time::Instant(0),
+                service: key::Service(0),
+                slots: 2,
+                usage: snapshot::Use::Place,
+                zone: key::Zone((number % 2) as u16),
+            })
+        })
+        .collect();
+    let keys: Vec<key::Target> = (0..targets.len()).map(key::Target::from).collect();
+    let cookies = keys.iter().zip(targets.iter().flatten());
+    let cookies: HashMap<_, _> = cookies.map(|(key, target)| (target.cookie, *key)).collect();
+    let branch = snapshot::Branch {
+        service: key::Service(0),
+        weight: 1,
+    };
+    let routes = HashMap::from([(
+        route(),
+        snapshot::Route {
+            branches: vec![branch],
+            kind,
+            known: vec![key::Service(0)],
+        },
+    )]);
+    snapshot::Snapshot {
+        as_of: 1,
+        cookies: Arc::new(cookies),
+        fresh: true,
+        generation: 1,
+        routes: Arc::new(routes),
+        services: vec![keys],
+        targets,
+        version: 1,
+        zone: Some(key::Zone(0)),
+        zones: Arc::new(vec!["here".into(), "there".into()]),
+        ..snapshot::Snapshot::default()
+    }
+}
+
+impl Run {
+    fn new(seed: u64, dead: u64, kind: catalog::Kind) -> Self {
+        let mut random = random::Source::new(seed);
+        let dies_at = (0..TARGETS)
+            .map(|number| {
+                if number < dead {
+                    2_000 + random.below(6_000) as u64
+                } else {
+                    u64::MAX
+                }
+            })
+            .collect();
+        Self {
+            callers: vec![Caller::default(); usize::from(FLOWS)],
+            dies_at,
+            queue: BinaryHeap::new(),
+            random,
+            resets: 0,
+            shard: forward::Shard::new(hash::Secret::default()),
+            snapshot: snapshot(kind),
+        }
+    }
+
+    fn at(now: u64) -> time::Instant {
+        time::Instant::from_millis(3_600_000 + now)
+    }
+
+    fn push(&mut self, at: u64, flow: u16, action: Action) {
+        let request = self.callers[usize::from(flow)].request;
+        self.queue
+            .push(std::cmp::Reverse((at, flow, request, action)));
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.random.below(1_000) < LOST
+    }
+
+    fn play(&mut self) {
+        for flow in 0..FLOWS {
+            let at = self.random.below(1_000) as u64;
+            self.push(at, flow, Action::Open);
+        }
+        let mut ticked = 0;
+        while let Some(std::cmp::Reverse((now, flow, request, action))) = self.queue.pop() {
+            while ticked < now {
+                ticked += 100;
+                self.shard.tick(&self.snapshot, Self::at(ticked));
+            }
+            if now > END_MS {
+                return;
+            }
+            if request == self.callers[usize::from(flow)].request {
+                self.act(now, flow, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: u64, flow: u16, action: Action) {
+        let index = usize::from(flow);
+        match action {
+            Action::Open => self.open(now, flow),
+            Action::Begin => {
+                self.callers[index].request += 1;
+                self.callers[index].waiting = true;
+                self.send(now, flow, 100);
+                for wait in REPEATS_MS {
+                    self.push(now + wait, flow, Action::Repeat(wait as usize));
+                }
+            }
+            Action::Repeat(_) if self.callers[index].waiting => self.send(now, flow, 100),
+            Action::Repeat(_) => {}
+            Action::Answer if self.callers[index].waiting => {
+                let caller = &mut self.callers[index];
+                caller.waiting = false;
+                caller.acknowledged += 500;
+                caller.sequence += 100;
+                self.send(now, flow, 0);
+                let pause = self.random.below(900) as u64;
+                self.push(now + pause, flow, Action::Begin);
+            }
+            Action::Answer => {}
+        }
+    }
+
+    fn segment(&self, flow: u16, kind: packet::Kind, length: u16) -> segment::Segment {
+        let caller = &self.callers[usize::from(flow)];
+        segment::Segment {
+            acknowledged: caller.acknowledged,
+            caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1_000 + flow),
+            cookie: caller.cookie,
+            copies: 0,
+            kind,
+            length,
+            route: route(),
+            sequence: caller.sequence,
+        }
+    }
+
+    fn open(&mut self, now: u64, flow: u16) {
+        let index = usize::from(flow);
+        let request = self.callers[index].request + 1;
+        self.callers[index] = Caller {
+            request,
+            ..Caller::default()
+        };
+        let segment = self.segment(flow, packet::Kind::First, 0);
+        let verdict = self.shard.steer(&self.snapshot, Self::at(now), &segment);
+        let forward::Verdict::Forward(target) = verdict else {
+            panic!("a first packet was not placed: {verdict:?}");
+        };
+        if now >= self.dies_at[target.index()] {
+            // Nobody answers; the caller begins anew.
+            self.push(now + 1_400, flow, Action::Open);
+            return;
+        }
+        let caller = &mut self.callers[index];
+        caller.acknowledged = 1;
+        caller.cookie = self.snapshot.target(target).expect("a target").cookie;
+        caller.sequence = 1;
+        caller.target = Some(target);
+        self.push(now + 10, flow, Action::Begin);
+    }
+
+    fn send(&mut self, now: u64, flow: u16, length: u16) {
+        let Some(target) = self.callers[usize::from(flow)].target else {
+            return;
+        };
+        let segment = self.segment(flow, packet::Kind::Middle, length);
+        let is_alive = now < self.dies_at[target.index()];
+        match self.shard.steer(&self.snapshot, Self::at(now), &segment) {
+            forward::Verdict::Forward(found) => {
+                assert_eq!(found, target, "a packet went to another target");
+                let (lost, service) = (self.is_lost(), self.random.below(MAX_SERVICE_MS));
+                if is_alive && !lost && length > 0 {
+                    self.push(now + 5 + service as u64, flow, Action::Answer);
+                }
+            }
+            forward::Verdict::Reset => {
+                assert!(!is_alive, "a flow of a living target was reset at {now}");
+                self.resets += 1;
+                self.push(now + 10, flow, Action::Open);
+            }
+            forward::Verdict::Drop(reason) => panic!("dropped: {reason:?}"),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(8),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn flows_of_living_targets_are_never_reset(
+        seed in any::<u64>(),
+        dead in 0..TARGETS / 2,
+        once in any::<bool>(),
+    ) {
+        let kind = if once { catalog::Kind::Once } else { catalog::Kind::Idempotent };
+        Run::new(seed, dead, kind).play();
+    }
+}
+
+#[test]
+fn repeatable_flows_of_dead_targets_begin_anew() {
+    let mut run = Run::new(1, 3, catalog::Kind::Idempotent);
+    run.play();
+    assert!(run.resets > 10, "{} resets", run.resets);
+}
