--- a/lib/src/coordination/cookie/evidence.rs
+++ b/lib/src/coordination/cookie/evidence.rs
@@ -16,14 +16,14 @@
 /// Stalled targets of a zone, none of which shows life, that make the zone suspect.
 const ZONE_STALLS: usize = 2;
 /// Changes from one stalled flow to another since the last progress that show that a target answers
-/// nothing at all; a single flow may have its own trouble.
-const DEAD_FLOWS: u32 = 1;
+/// nothing at all; two flows may lose packets at the same time.
+const DEAD_FLOWS: u32 = 3;
 /// Time for which one of these flows must have waited; callers repeat after 200 ms and 600 ms, and
 /// one loss must not be enough.
 const DEAD_WAIT: time::Duration = time::Duration::from_millis(500);
 /// Time without progress before a target can be dead; above the time for which the longest request
-/// waits behind a full queue of a target in good order.
-const DEAD_AFTER: time::Duration = time::Duration::from_millis(600);
+/// waits behind a full queue of a target in good order, and above two losses in a row of one flow.
+const DEAD_AFTER: time::Duration = time::Duration::from_millis(900);
 /// Age of the last stall at which a target counts as living again until flows show otherwise; well
 /// below the time for which the users' rules excuse a target that was out of reach.
 const DEAD_MEMORY: time::Duration = time::Duration::from_millis(2_000);
