--- a/lib/tests/cookie_property.rs
+++ b/lib/tests/cookie_property.rs
@@ -254,7 +254,10 @@
 /// made a living target look dead to an instance that had nobody to ask.
 #[test]
 fn found_schedules_reset_nothing_living() {
-    for (seed, dead) in [(8_857_367_298_740_471_892, 0), (7_022_970_555_319_959_524, 2)] {
+    for (seed, dead) in [
+        (8_857_367_298_740_471_892, 0),
+        (7_022_970_555_319_959_524, 2),
+    ] {
         Run::new(seed, dead, catalog::Kind::Idempotent).play();
     }
 }
