--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::MutexGuard;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{self, Signal};
@@ -11,6 +12,8 @@
 use quetzal_standin::{echo, store};
 use serde_json::json;
 
+use crate::site;
+
 /// Longest wait for a condition.
 const TIMEOUT: Duration = Duration::from_secs(15);
 const TRAFFIC_PORT: u16 = 8_172;
@@ -18,6 +21,7 @@
 
 /// Instances, targets and a store on their own block of addresses.
 struct Site {
+    _turn: MutexGuard<'static, ()>,
     block: u8,
     children: Vec<Option<Child>>,
     directory: PathBuf,
@@ -27,10 +31,12 @@
 impl Site {
     /// Starts the store with a route and two targets, and instances one after the other.
     fn start(block: u8, instances: usize) -> Self {
+        let turn = site::take_turn();
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cookie-{block}"));
         std::fs::create_dir_all(&directory).expect("a directory for the test");
         let store = store::Store::start(SocketAddr::new(ip(block, 200).into(), 8_169));
         let mut site = Self {
+            _turn: turn,
             block,
             children: (0..instances).map(|_| None).collect(),
             directory,
