standin: a copy of a first packet opens no second connection

Cause: the stand-ins' userspace TCP hands every SYN to the first socket that takes it, a listening one included. A copy that arrives after its connection was opened began a second one with the same addresses, whose answers reset the first. Callers repeat SYNs after a hold or on a busy machine, so flows broke that the system had steered right. Ruled out: any one kind of failure; short requests broke in three different failure tests.

--- a/standin/src/stack.rs
+++ b/standin/src/stack.rs
@@ -4,6 +4,8 @@
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
+use quetzal_lib::protocol::ip;
+use quetzal_lib::state::packet;
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
 use smoltcp::phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken};
 use smoltcp::socket::tcp;
@@ -125,7 +127,7 @@
             let Ok((length, _)) = self.udp.recv_from(&mut buffer) else {
                 break;
             };
-            if !deaf {
+            if !deaf && !self.is_repeat(&buffer[..length]) {
                 self.queues.received.push_back(buffer[..length].to_vec());
             }
         }
@@ -140,6 +142,26 @@
         }
     }
 
+    /// Whether a packet is the copy of one that already opened a connection. The stack would hand it
+    /// to a socket that listens, and so open the connection a second time.
+    fn is_repeat(&self, bytes: &[u8]) -> bool {
+        let Ok(header) = ip::parse(bytes) else {
+            return false;
+        };
+        if header.kind != packet::Kind::First {
+            return false;
+        }
+        let source = (
+            IpAddress::from(header.tuple.source),
+            header.tuple.source_port,
+        );
+        self.sockets.iter().any(|(_, socket)| {
+            let smoltcp::socket::Socket::Tcp(socket) = socket;
+            let remote = socket.remote_endpoint();
+            remote.is_some_and(|remote| (remote.addr, remote.port) == source)
+        })
+    }
+
     /// Time until the stack wants to run again, at most `most`.
     pub fn wait(&mut self, most: Duration) -> Duration {
         let now = self.now();
--- /dev/null
+++ b/standin/tests/repeats.rs
@@ -0,0 +1,91 @@
+//! Targets and callers before a network that delivers packets more than once.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use quetzal_lib::protocol::ip;
+use quetzal_lib::state::packet;
+use quetzal_lib::transport::http;
+use quetzal_standin::{caller, target};
+
+/// Delay of the copy of a first packet, within the life of the shortest flows.
+const COPY_DELAY: Duration = Duration::from_millis(8);
+/// Flows that must have ended before a test judges.
+const FLOWS: u64 = 200;
+/// Longest wait for these flows.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn address(last: u8, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 90, 0, last)), port)
+}
+
+/// Passes packets of callers on to a target, and first packets once more after a delay.
+fn pass(from: SocketAddr, to: SocketAddr) {
+    let socket = UdpSocket::bind(from).expect("the network's socket");
+    let copies = socket.try_clone().expect("the network's socket");
+    let (late, queue) = mpsc::channel::<(Instant, Vec<u8>)>();
+    std::thread::spawn(move || {
+        for (due, bytes) in queue {
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            copies.send_to(&bytes, to).expect("the network sends");
+        }
+    });
+    std::thread::spawn(move || {
+        let mut buffer = [0; 2_048];
+        while let Ok((length, _)) = socket.recv_from(&mut buffer) {
+            let bytes = &buffer[..length];
+            socket.send_to(bytes, to).expect("the network sends");
+            if ip::parse(bytes).is_ok_and(|header| header.kind == packet::Kind::First) {
+                let copy = (Instant::now() + COPY_DELAY, bytes.to_vec());
+                late.send(copy).expect("the copies are sent");
+            }
+        }
+    });
+}
+
+#[test]
+fn a_repeated_first_packet_opens_one_connection() {
+    let vip = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 90, 0, 1)), 80);
+    let targets = target::Config {
+        admin: address(1, 9_000),
+        callers: address(2, 6_080),
+        targets: vec![target::Target {
+            address: address(3, 6_080),
+            health: address(3, 9_000),
+            name: "one".to_owned(),
+            service: "board".to_owned(),
+            slots: 64,
+            vip,
+        }],
+    };
+    let callers = caller::Config {
+        addresses: vec![IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1))],
+        admin: address(2, 9_000),
+        fabric: address(4, 6_080),
+        listen: address(2, 6_080),
+        loads: vec![caller::Load {
+            download_bytes: 20_000,
+            feed_millis: 500,
+            rate: 60.0,
+            service: "board".to_owned(),
+            vip,
+            weights: [60, 20, 10, 10],
+        }],
+        seed: 7,
+    };
+    pass(address(4, 6_080), address(3, 6_080));
+    std::thread::spawn(move || target::run(&targets).expect("the target runs"));
+    std::thread::spawn(move || caller::run(callers).expect("the callers run"));
+    let end = Instant::now() + TIMEOUT;
+    let report = loop {
+        let report: caller::Report = http::get_json(address(2, 9_000), "/").unwrap_or_default();
+        let ended = report.completed + report.broken.values().sum::<u64>() + report.refused;
+        if ended >= FLOWS || Instant::now() > end {
+            break report;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    assert_eq!((report.broken.len(), report.refused), (0, 0), "{report:?}");
+    assert!(report.completed >= FLOWS, "{report:?}");
+}
--- /dev/null
+++ b/standin/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Runner of the stand-ins' tests.
+
+mod repeats;
