coordination: a held packet keeps its key until its verdict is taken

Cause: a verdict on a held packet freed the packet's key at once, while the traffic thread carries verdicts out at the end of a batch. A packet held later in the same batch got the same key and its bytes replaced the former's, so they went to the target of another flow; the former packet was lost. Found by traces of each packet at callers, instances and targets: the entry named one target, the first packet had gone to another. Ruled out: leases, ownership after a leave, merges of replicas; all instances named one owner and one target for the broken flow.

--- a/daemon/tests/site.rs
+++ b/daemon/tests/site.rs
@@ -97,8 +97,8 @@
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(log)
+            .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
         self.instances[instance] = Some(child);
@@ -207,6 +207,15 @@
             .count();
         assert_eq!(twice, 0, "requests ran twice");
         println!("broken flows: {:?}", callers.broken);
+        for failure in &callers.failures {
+            let named = |holds: &dyn Fn(&target::Report) -> bool| -> Vec<&String> {
+                let found = targets.iter().filter(|(_, report)| holds(report));
+                found.map(|(name, _)| name).collect()
+            };
+            let by = named(&|report| report.resets.contains(&failure.caller));
+            let ran = named(&|report| report.ran.contains_key(&failure.id));
+            println!("{failure:?}, reset by {by:?}, ran on {ran:?}");
+        }
         callers.broken.values().sum()
     }
 }
--- a/lib/src/coordination/hold.rs
+++ b/lib/src/coordination/hold.rs
@@ -13,6 +13,8 @@
 pub(crate) enum Wait {
     /// For the replicas of its entry.
     Copies(key::Entry),
+    /// For the transport to take its verdict; until then its key names no other packet.
+    Taking,
     /// For a newer view or lease.
     View,
 }
@@ -58,6 +60,7 @@
             .iter()
             .filter(|(_, held)| match held.wait {
                 Wait::Copies(entry) => held.deadline <= now || ready.contains(&entry),
+                Wait::Taking => false,
                 Wait::View => true,
             })
             .map(|(key, held)| (key, *held))
@@ -69,16 +72,15 @@
 
     fn retry_one(&mut self, view: &view::View, now: time::Instant, key: key::Held, held: Held) {
         if held.deadline <= now {
-            self.held.remove(key);
             if let Wait::Copies(entry) = held.wait
                 && self.table.get(entry).is_some_and(|entry| !entry.confirmed)
             {
                 self.remove(entry);
             }
-            self.released.push((
+            self.release(
                 key,
                 steering::Verdict::Drop(count::Counter::DropHeldTooLong),
-            ));
+            );
             return;
         }
         match self.decide(view, now, held.packet, false) {
@@ -92,7 +94,6 @@
             // A full hold is no verdict on a packet that is already held.
             steering::Verdict::Drop(count::Counter::DropHoldFull) => {}
             verdict => {
-                self.held.remove(key);
                 // While the packet was held its caller may have sent again to another instance.
                 let verdict = match verdict {
                     steering::Verdict::Refuse => {
@@ -100,8 +101,24 @@
                     }
                     verdict => verdict,
                 };
-                self.released.push((key, verdict));
+                self.release(key, verdict);
             }
         }
     }
+
+    fn release(&mut self, key: key::Held, verdict: steering::Verdict) {
+        if let Some(held) = self.held.get_mut(key) {
+            held.wait = Wait::Taking;
+            self.released.push((key, verdict));
+        }
+    }
+
+    /// Held packets whose verdict is known now; their keys may name other packets from now on.
+    pub fn released(&mut self) -> Vec<(key::Held, steering::Verdict)> {
+        let released = std::mem::take(&mut self.released);
+        for (key, _) in &released {
+            self.held.remove(*key);
+        }
+        released
+    }
 }
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -146,11 +146,6 @@
         &mut self.outcomes[service.index()]
     }
 
-    /// Held packets whose verdict is known now.
-    pub fn released(&mut self) -> std::vec::Drain<'_, (key::Held, Verdict)> {
-        self.released.drain(..)
-    }
-
     /// Decides what becomes of a packet.
     pub fn steer(&mut self, view: &view::View, now: time::Instant, packet: Packet) -> Verdict {
         self.decide(view, now, packet, true)
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -348,8 +348,7 @@
     /// Carries out the verdicts on packets that were held.
     fn send_released(&mut self) {
         let now = self.parts.clock.now();
-        let released: Vec<(key::Held, steering::Verdict)> = self.parts.shard.released().collect();
-        for (key, verdict) in released {
+        for (key, verdict) in self.parts.shard.released() {
             let Some(kept) = self.held.remove(&key) else {
                 continue;
             };
--- /dev/null
+++ b/lib/tests/holds.rs
@@ -0,0 +1,66 @@
+//! Held packets keep their keys until their verdicts were taken.
+
+use std::time::Duration;
+
+use quetzal_lib::coordination::{message, steering};
+use quetzal_lib::state::{key, packet, time};
+use quetzal_testutils::{caller, fleet, sheet};
+
+use crate::scenario;
+
+/// Flows tried until some have to wait for their replicas.
+const TRIES: usize = 2_000;
+
+/// First packets of flows that the first node of a fleet holds until their replicas are kept.
+fn held(fleet: &mut fleet::Fleet, count: usize) -> Vec<(steering::Packet, steering::Verdict)> {
+    let now = fleet.now;
+    let ends = time::Instant::FAR;
+    let node = &mut fleet.nodes[0];
+    let mut found = Vec::new();
+    for number in 0..TRIES {
+        let tcp = packet::Protocol::Tcp;
+        let flow = caller::Flow::new(number, 0, tcp, ends, Duration::from_secs(1));
+        let packet = steering::Packet {
+            flow: flow.key,
+            header: packet::Header {
+                kind: packet::Kind::First,
+                tuple: flow.tuple,
+            },
+            hops: 0,
+        };
+        let verdict = node.shard.steer(&node.view, now, packet);
+        if matches!(verdict, steering::Verdict::Hold(_)) {
+            found.push((packet, verdict));
+        }
+        if found.len() == count {
+            break;
+        }
+    }
+    assert_eq!(found.len(), count, "flows that wait for replicas");
+    found
+}
+
+#[test]
+fn a_packet_held_before_a_verdict_is_taken_gets_a_key_of_its_own() {
+    let services = vec![sheet::Service::new("only", 8, 1_000)];
+    let mut fleet = scenario::started(fleet::Options::new(5), &services);
+    fleet.run(Duration::from_secs(5));
+    let first = held(&mut fleet, 1)[0];
+    let (now, peers) = (fleet.now, fleet.nodes.len() as u16);
+    let node = &mut fleet.nodes[0];
+    for peer in 1..peers {
+        let kept = message::Traffic::Kept(vec![first.0.flow.low]);
+        node.shard
+            .receive(&node.view, now, key::Instance(peer), kept);
+    }
+    // Further packets of the same batch are held before the verdicts are taken.
+    let later = held(&mut fleet, 2);
+    let node = &mut fleet.nodes[0];
+    let released = node.shard.released();
+    assert_eq!(released.len(), 1, "the first packet has a verdict");
+    for (_, verdict) in later {
+        assert_ne!(verdict, first.1, "the key still names the first packet");
+        assert_ne!(verdict, steering::Verdict::Hold(released[0].0));
+    }
+    assert_eq!(node.shard.held_count(), 2);
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 mod cookie_property;
 mod cookie_settings;
 mod decoders;
+mod holds;
 mod layers;
 mod limits;
 mod packets;
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -54,11 +54,26 @@
     pub seed: u64,
 }
 
+/// A flow that broke.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Failure {
+    /// Milliseconds from the flow's start to its end.
+    pub after_millis: u64,
+    /// The caller's end.
+    pub caller: SocketAddr,
+    /// What broke.
+    pub cause: String,
+    /// The flow's request.
+    pub id: u64,
+}
+
 /// What became of the flows.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Report {
     /// Broken flows by cause.
     pub broken: BTreeMap<String, u64>,
+    /// The flows that broke.
+    pub failures: Vec<Failure>,
     /// Flows that ended as they should.
     pub completed: u64,
     /// Posts whose answer came.
@@ -89,11 +104,13 @@
     answer: Vec<u8>,
     asked: bool,
     bytes: u64,
+    caller: SocketAddr,
     established: bool,
     handle: SocketHandle,
     id: u64,
     kind: Kind,
     load: usize,
+    started: Instant,
 }
 
 struct Callers {
@@ -173,7 +190,8 @@
         let address = self.config.addresses[self.random.below(self.config.addresses.len())];
         let ports = u16::MAX - FIRST_PORT;
         let port = FIRST_PORT + (id % u64::from(ports)) as u16;
-        let handle = self.stack.connect(SocketAddr::new(address, port), load.vip);
+        let caller = SocketAddr::new(address, port);
+        let handle = self.stack.connect(caller, load.vip);
         let bytes = match kind {
             Kind::Short => 200,
             Kind::Post => 0,
@@ -185,11 +203,13 @@
             answer: Vec::new(),
             asked: false,
             bytes,
+            caller,
             established: false,
             handle,
             id,
             kind,
             load: index,
+            started: Instant::now(),
         };
         self.flows.push(flow);
         self.report.started += 1;
@@ -259,7 +279,7 @@
             }
             Err(cause) => {
                 self.report.wrong_service += u64::from(cause == "wrong service");
-                *self.report.broken.entry(cause.to_owned()).or_default() += 1;
+                self.note_broken(index, cause);
             }
         }
     }
@@ -280,7 +300,18 @@
             Kind::Download => "reset or timed out: download",
             Kind::Feed => "reset or timed out: feed",
         };
+        self.note_broken(index, cause);
+    }
+
+    fn note_broken(&mut self, index: usize, cause: &str) {
+        let flow = &self.flows[index];
         *self.report.broken.entry(cause.to_owned()).or_default() += 1;
+        self.report.failures.push(Failure {
+            after_millis: flow.started.elapsed().as_millis() as u64,
+            caller: flow.caller,
+            cause: cause.to_owned(),
+            id: flow.id,
+        });
     }
 }
 
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -83,10 +83,11 @@
 }
 
 /// Imbalance of one service over the samples.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Imbalance {
-    busy: f64,
-    busy_samples: u32,
+    /// Busy slots of each target, summed over the samples: a service rarely has more than a few
+    /// busy at one moment, so that a single sample says nothing of the balance.
+    busy: BTreeMap<String, usize>,
     open: f64,
     samples: u32,
 }
@@ -329,25 +330,23 @@
     }
 
     fn sample(&mut self) {
-        let mut services: BTreeMap<String, Vec<(usize, usize)>> = BTreeMap::new();
+        let mut services: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (name, report) in self.targets() {
             if !name.ends_with("spare") {
+                let kept = self.imbalance.entry(report.service.clone()).or_default();
+                *kept.busy.entry(name).or_default() += report.busy;
                 services
                     .entry(report.service)
                     .or_default()
-                    .push((report.open, report.busy));
+                    .push(report.open);
             }
         }
-        for (service, loads) in services {
+        for (service, open) in services {
             let kept = self.imbalance.entry(service).or_default();
-            if let Some(ratio) = max_over_mean(loads.iter().map(|(open, _)| *open)) {
+            if let Some(ratio) = max_over_mean(open.iter().copied()) {
                 kept.open += ratio;
                 kept.samples += 1;
             }
-            if let Some(ratio) = max_over_mean(loads.iter().map(|(_, busy)| *busy)) {
-                kept.busy += ratio;
-                kept.busy_samples += 1;
-            }
         }
     }
 
@@ -426,7 +425,7 @@
         ));
         for (service, imbalance) in &self.imbalance {
             let open = imbalance.open / f64::from(imbalance.samples.max(1));
-            let busy = imbalance.busy / f64::from(imbalance.busy_samples.max(1));
+            let busy = max_over_mean(imbalance.busy.values().copied()).unwrap_or(1.0);
             rows.push((
                 format!("imbalance of {service}, open flows"),
                 format!("{open:.2}"),
--- a/standin/src/stack.rs
+++ b/standin/src/stack.rs
@@ -77,6 +77,7 @@
     gateway: SocketAddr,
     interface: Interface,
     origin: Instant,
+    resets: Vec<SocketAddr>,
     queues: Queues,
     udp: UdpSocket,
 }
@@ -104,10 +105,16 @@
             interface,
             origin: Instant::now(),
             queues,
+            resets: Vec::new(),
             udp,
         }
     }
 
+    /// Ends of the connections that were reset since the last call.
+    pub fn take_resets(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.resets)
+    }
+
     fn now(&self) -> StackInstant {
         StackInstant::from_micros(self.origin.elapsed().as_micros() as i64)
     }
@@ -136,6 +143,13 @@
             .poll(now, &mut self.queues, &mut self.sockets);
         while let Some(packet) = self.queues.sent.pop_front() {
             if !deaf {
+                if let Ok(header) = ip::parse(&packet)
+                    && header.kind == packet::Kind::Reset
+                {
+                    let tuple = header.tuple;
+                    self.resets
+                        .push(SocketAddr::new(tuple.destination, tuple.destination_port));
+                }
                 // A packet that is lost is sent again by TCP.
                 let _ = self.udp.send_to(&packet, self.gateway);
             }
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -87,6 +87,8 @@
     pub fault: Fault,
     /// Open connections.
     pub open: usize,
+    /// Callers whose connections were reset, newest last.
+    pub resets: Vec<SocketAddr>,
     /// How often each request ran.
     pub ran: BTreeMap<u64, u32>,
     /// Service.
@@ -230,6 +232,8 @@
         let deaf = matches!(fault, Fault::Down | Fault::Lying);
         let wait = server.stack.wait(IDLE_WAIT);
         server.stack.run(wait, deaf);
+        let resets = server.stack.take_resets();
+        server.report.resets.extend(resets);
         server.accept();
         server.work();
         server.publish(reports);
@@ -417,6 +421,9 @@
             {
                 report.ran.clone_from(&self.report.ran);
             }
+            if report.resets.len() != self.report.resets.len() {
+                report.resets.clone_from(&self.report.resets);
+            }
             report.accepted = self.report.accepted;
             report.busy = self.report.busy;
             report.open = self.report.open;
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -569,9 +569,7 @@
     }
 
     fn release(&mut self, node: usize) {
-        let released: Vec<(key::Held, steering::Verdict)> =
-            self.nodes[node].shard.released().collect();
-        for (key, verdict) in released {
+        for (key, verdict) in self.nodes[node].shard.released() {
             if let Some((flow, kind)) = self.nodes[node].held.remove(&key) {
                 self.apply(node, flow, kind, verdict);
             }
