--- a/cli/src/commands/instances.rs
+++ b/cli/src/commands/instances.rs
@@ -15,9 +15,9 @@
     context.finish()?;
     let (answers, silent) = context.ask::<status::Status>("/status")?;
     if context.form == context::Form::Json {
-        let peers: Vec<(u16, &Vec<status::Peer>)> = answers
+        let peers: Vec<(&str, &Vec<status::Peer>)> = answers
             .iter()
-            .map(|(_, status)| (status.instance, &status.peers))
+            .map(|(_, status)| (status.name.as_str(), &status.peers))
             .collect();
         output::json(&peers)?;
     } else {
@@ -33,8 +33,8 @@
     for status in all {
         for peer in &status.peers {
             table.row(vec![
-                status.instance.to_string(),
-                peer.instance.to_string(),
+                status.name.to_string(),
+                peer.name.to_string(),
                 if peer.alive { "yes" } else { "no" }.to_owned(),
                 peer.phase
                     .map_or("-".to_owned(), |phase| format!("{phase:?}").to_lowercase()),
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -57,7 +57,7 @@
         let alive = status.peers.iter().filter(|peer| peer.alive).count();
         let peers = format!("{alive}/{}", status.peers.len());
         table.row(vec![
-            status.instance.to_string(),
+            status.name.to_string(),
             status.zone.to_string(),
             status
                 .phase
--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -28,10 +28,12 @@
         .into(),
         entries: 42,
         instance,
+        name: instance.to_string().into(),
         peers: vec![
             status::Peer {
                 alive: true,
                 instance: 1 - instance,
+                name: (1 - instance).to_string().into(),
                 phase: Some(message::Phase::Serving),
                 revision: 7,
                 silent_ms: Some(120),
@@ -39,6 +41,7 @@
             status::Peer {
                 alive: false,
                 instance: 2,
+                name: "2".into(),
                 phase: None,
                 revision: 0,
                 silent_ms: None,
@@ -78,7 +81,7 @@
         windows: [tally(bad), tally(bad), tally(bad), tally(bad)],
     };
     burn::Report {
-        instances: vec![instance],
+        instances: vec![instance.to_string().into()],
         services: vec![burn::Service {
             measures: vec![
                 measure(burn::Kind::Broken, 0.000_5, 8),
--- a/lib/src/coordination/burn.rs
+++ b/lib/src/coordination/burn.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::load;
 use crate::state::{fleet, time};
 
 /// Length of one slot.
@@ -24,6 +25,19 @@
 /// Burn rate over 30 minutes and 6 hours that is a slow burn.
 const SLOW_RATE: f64 = 6.0;
 
+/// Time between samples of imbalance and of the configuration in force.
+pub const SAMPLE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Open flows of a service below which its imbalance says nothing, for each target.
+const MIN_FLOWS_PER_TARGET: u32 = 3;
+
+/// Flows of the fullest target over the mean; none with too few flows to tell.
+pub fn imbalance(flows: &[u32]) -> Option<f64> {
+    let sum: u32 = flows.iter().sum();
+    let most = flows.iter().max().copied()?;
+    let enough = sum >= MIN_FLOWS_PER_TARGET * flows.len() as u32;
+    enough.then(|| f64::from(most) * flows.len() as f64 / f64::from(sum))
+}
+
 /// What an objective is about.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -99,6 +113,37 @@
 }
 
 impl History {
+    /// Adds what became of flows.
+    pub fn add_outcomes(&mut self, now: time::Instant, outcomes: &load::Outcomes) {
+        let total = u64::from(outcomes.started + outcomes.refused);
+        for (kind, bad) in [
+            (Kind::Broken, outcomes.lost),
+            (Kind::Refused, outcomes.refused),
+        ] {
+            let bad = u64::from(bad);
+            self.add(now, kind, Tally { bad, total });
+        }
+    }
+
+    /// Adds a sample of what is not an event of its own.
+    pub fn add_samples(
+        &mut self,
+        now: time::Instant,
+        objective: fleet::Objective,
+        is_behind: bool,
+        imbalance: Option<f64>,
+    ) {
+        let sample = |is_bad: bool| Tally {
+            bad: u64::from(is_bad),
+            total: 1,
+        };
+        self.add(now, Kind::Sheet, sample(is_behind));
+        if let Some(ratio) = imbalance {
+            let is_bad = ratio > f64::from(objective.imbalance) / 1_000.0;
+            self.add(now, Kind::Imbalance, sample(is_bad));
+        }
+    }
+
     /// Adds events of a kind at a time.
     pub fn add(&mut self, now: time::Instant, kind: Kind, tally: Tally) {
         self.advance(now);
@@ -224,7 +269,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
     /// Instances whose events are in the report.
-    pub instances: Vec<u16>,
+    pub instances: Vec<CompactString>,
     /// Services.
     pub services: Vec<Service>,
     /// Shortest time, in seconds, since one of the instances began to count.
@@ -243,7 +288,7 @@
         } else {
             self.since_seconds.min(other.since_seconds)
         };
-        self.instances.extend(&other.instances);
+        self.instances.extend_from_slice(&other.instances);
         for zone in &other.zones {
             if !self.zones.contains(zone) {
                 self.zones.push(zone.clone());
--- a/lib/src/coordination/cookie/catalog.rs
+++ b/lib/src/coordination/cookie/catalog.rs
@@ -72,6 +72,8 @@
     pub config: Option<catalog::Config>,
     /// When the facts were last known to be current.
     pub confirmed: Option<time::Instant>,
+    /// Number of times that a target was added or forgotten.
+    pub members: u64,
     /// Targets.
     pub targets: arena::Arena<key::Target, Record>,
     /// Revision at which the configuration in force was already there.
@@ -181,6 +183,7 @@
         for (key, id, revision) in forgotten {
             self.targets.remove(key);
             self.keys.remove(&id);
+            self.members += 1;
             self.floor = self.floor.max(revision);
         }
         changes
@@ -262,6 +265,7 @@
             revision: entry.revision,
         });
         self.keys.insert(entry.id, key);
+        self.members += 1;
         Some(key)
     }
 
--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -4,14 +4,15 @@
 //! is something newer and fetch it. No instance appoints another: one watches while it hears of too
 //! few watchers that rank before it, and whenever its own facts have grown old.
 
-use std::collections::HashMap;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use compact_str::CompactString;
 
-use crate::coordination::cookie::{beat, catalog as beliefs, forward, peers};
-use crate::state::{catalog, key, random, snapshot, time};
+use crate::coordination::burn;
+use crate::coordination::cookie::{beat, catalog as beliefs, peers, picture, report};
+use crate::state::{catalog, fleet, key, random, snapshot, time};
 
 /// Time between heartbeats.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -26,18 +27,6 @@
 const STAGGER_LIMIT: usize = 6;
 /// Time after its start for which an instance that is no seed waits for the facts of a peer.
 const PEER_HEAD_START: time::Duration = time::Duration::from_millis(60);
-/// Age up to which facts are good enough to refuse a flow by them; the bound in which a change must
-/// be in force is three seconds.
-const FRESH_FOR: time::Duration = time::Duration::from_millis(2_500);
-/// Time for which a registration must have been gone before its target counts as ended; a living
-/// target registers again within about two seconds.
-const ENDED_AFTER: time::Duration = time::Duration::from_millis(2_500);
-/// Time after which this instance has seen every configuration under which a living flow can have been
-/// opened; the longest life of a flow, 60 s, and a margin.
-const HISTORY: time::Duration = time::Duration::from_secs(65);
-/// Time for which a service of which nothing is registered any more keeps its former targets; a living
-/// one registers again within about two seconds, and three are the bound for new flows.
-const VANISHED_FOR: time::Duration = time::Duration::from_millis(2_300);
 /// Longest wait for a fetch from a peer before another may begin.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -104,56 +93,52 @@
     /// The other instances.
     pub peers: peers::Peers,
     /// The last report of each traffic thread.
-    pub reports: Vec<forward::Report>,
+    pub reports: Vec<report::Report>,
     /// The picture in force.
     pub snapshot: Arc<snapshot::Snapshot>,
     /// Whether this instance watches the publisher.
     pub watching: bool,
+    burn: BTreeMap<key::Service, burn::History>,
     contacted: Option<time::Instant>,
     fetching: Option<time::Instant>,
-    generation: u64,
-    known: HashMap<SocketAddrV4, Vec<key::Service>>,
     leaving: bool,
     next_beat: time::Instant,
     outputs: Vec<Output>,
+    picture: picture::Builder,
     random: random::Source,
     reachable: Option<bool>,
-    seeds: Vec<SocketAddr>,
+    sample_due: time::Instant,
     sequence: u64,
-    services: Vec<CompactString>,
     started: time::Instant,
-    zones: Vec<CompactString>,
 }
 
 impl Core {
     /// An instance that starts at `now` from seeds.
     pub fn new(
         config: Config,
-        seeds: Vec<SocketAddr>,
+        seeds: &[SocketAddr],
         shards: usize,
         random: random::Source,
         now: time::Instant,
     ) -> Self {
         Self {
             beliefs: beliefs::Catalog::default(),
+            burn: BTreeMap::new(),
             contacted: None,
             fetching: None,
-            generation: 0,
-            known: HashMap::new(),
             leaving: false,
             next_beat: now,
             outputs: Vec::new(),
-            peers: peers::Peers::new(config.address, &seeds),
+            peers: peers::Peers::new(config.address, seeds),
+            picture: picture::Builder::new(&config.zone, now),
             random,
             reachable: None,
-            reports: vec![forward::Report::default(); shards],
-            seeds,
+            reports: vec![report::Report::default(); shards],
+            sample_due: now,
             sequence: 0,
-            services: Vec::new(),
             snapshot: Arc::new(snapshot::Snapshot::default()),
             started: now,
             watching: false,
-            zones: vec![config.zone.clone()],
             config,
         }
     }
@@ -174,9 +159,8 @@
     }
 
     /// Replaces the seeds.
-    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        self.peers.set_seeds(&seeds);
-        self.seeds = seeds;
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.peers.set_seeds(seeds);
     }
 
     /// Announces the stop of this instance.
@@ -250,7 +234,11 @@
     }
 
     /// Takes the report of a traffic thread.
-    pub fn on_report(&mut self, shard: usize, report: forward::Report) {
+    pub fn on_report(&mut self, now: time::Instant, shard: usize, report: report::Report) {
+        for (index, outcomes) in report.outcomes.iter().enumerate() {
+            let history = self.burn.entry(key::Service::from(index)).or_default();
+            history.add_outcomes(now, outcomes);
+        }
         let Some(before) = self.reports.get_mut(shard) else {
             return;
         };
@@ -269,7 +257,7 @@
             .chain(ended.map(|key| Event::Target(*key, true)));
         self.outputs.extend(changes.map(Output::Log));
         if before.suspects != report.suspects {
-            let names = self.zones.iter().zip(&report.suspects);
+            let names = self.snapshot.zones.iter().zip(&report.suspects);
             let suspects = names.filter(|(_, suspect)| **suspect);
             let names = suspects.map(|(name, _)| name.clone()).collect();
             self.outputs.push(Output::Log(Event::Suspects(names)));
@@ -296,6 +284,7 @@
             self.fetching = None;
         }
         self.decide_watch(now);
+        self.sample_objectives(now);
         if now >= self.next_beat {
             self.beat(now);
             self.publish(now);
@@ -347,7 +336,7 @@
                 Some(age) if age < patience => watchers < WATCHERS && before < WATCHERS,
                 Some(_) => watchers < WATCHERS,
                 None => {
-                    let seed = self.peers.is_seed(&self.seeds);
+                    let seed = self.peers.is_seed();
                     seed || now.since(self.started) >= PEER_HEAD_START
                 }
             };
@@ -413,217 +402,62 @@
             .collect()
     }
 
-    fn service(&mut self, name: &CompactString) -> key::Service {
-        intern(&mut self.services, name).into()
-    }
-
-    fn zone(&mut self, name: &CompactString) -> key::Zone {
-        intern(&mut self.zones, name).into()
-    }
-
-    /// Builds the picture by which traffic threads work.
+    /// Puts a new picture in force.
     fn publish(&mut self, now: time::Instant) {
-        let age = self.beliefs.age(now).unwrap_or(time::Duration::MAX);
-        let fresh = age < FRESH_FOR;
-        let routes = self.routes();
-        let elsewhere = self.loads_elsewhere(now);
-        let mut targets = vec![None; self.beliefs.targets.slot_count()];
-        let mut cookies = HashMap::new();
-        let mut by_service: Vec<Vec<key::Target>> = Vec::new();
-        let records: Vec<(key::Target, beliefs::Record)> = self
-            .beliefs
-            .targets
-            .iter()
-            .map(|(key, record)| (key, record.clone()))
-            .collect();
-        for (key, record) in records {
-            let service = self.service(&record.details.service);
-            let zone = self.zone(&record.details.zone);
-            let usage = self.usage(now, &record, fresh);
-            // Of two targets with one cookie, only the one of the lower identity takes new flows.
-            let shadowed = match cookies.get(&record.cookie) {
-                Some((id, _)) => *id < record.id,
-                None => false,
-            };
-            if !shadowed {
-                cookies.insert(record.cookie, (record.id, key));
-            }
-            if usage == snapshot::Use::Place && !shadowed {
-                if by_service.len() <= service.index() {
-                    by_service.resize(service.index() + 1, Vec::new());
-                }
-                by_service[service.index()].push(key);
-            }
-            let (count, progressed) = elsewhere.get(&record.cookie.0).copied().unwrap_or_default();
-            targets[key.index()] = Some(snapshot::Target {
-                address: record.details.address,
-                cold_until: record.cold_until,
-                connections: self.connections(&record.details.service),
-                cookie: record.cookie,
-                elsewhere: count,
-                id: record.id,
-                progressed,
-                service,
-                slots: record.details.slots,
-                usage,
-                zone,
-            });
-        }
-        self.keep_vanished(now, &targets, &mut by_service);
-        self.generation += 1;
-        let cookies = cookies.into_iter().map(|(cookie, (_, key))| (cookie, key));
-        self.snapshot = Arc::new(snapshot::Snapshot {
-            age,
-            as_of: self.beliefs.as_of,
-            cookies: Arc::new(cookies.collect()),
-            fresh,
-            generation: self.generation,
-            routes,
-            services: by_service,
-            strict: now.since(self.started) >= HISTORY,
-            targets,
-            version: self.beliefs.version(),
-            zone: Some(key::Zone(0)),
-            zones: Arc::new(self.zones.clone()),
-        });
+        let elsewhere = self.peers.loads(now);
+        let built = self.picture.build(now, &self.beliefs, &elsewhere);
+        self.snapshot = Arc::new(built);
         self.outputs
             .push(Output::Publish(Arc::clone(&self.snapshot)));
     }
 
-    /// Keeps a service in use whose registrations have all just vanished: they more likely lapsed
-    /// together than ended together.
-    fn keep_vanished(
-        &self,
-        now: time::Instant,
-        targets: &[Option<snapshot::Target>],
-        by_service: &mut Vec<Vec<key::Target>>,
-    ) {
-        by_service.resize(by_service.len().max(self.services.len()), Vec::new());
-        let vanished = self.beliefs.targets.iter().filter(|(_, record)| {
-            let gone = record.missing_since.map(|since| now.since(since));
-            record.presence == beliefs::Standing::Removed
-                && record.details.duty == catalog::Duty::Active
-                && gone.is_some_and(|gone| gone < VANISHED_FOR)
-        });
-        let mut kept = vec![Vec::new(); by_service.len()];
-        for (key, _) in vanished {
-            if let Some(target) = &targets[key.index()] {
-                kept[target.service.index()].push(key);
-            }
-        }
-        for (present, kept) in by_service.iter_mut().zip(kept) {
-            if present.is_empty() {
-                *present = kept;
-            }
-        }
-    }
-
-    fn usage(&self, now: time::Instant, record: &beliefs::Record, fresh: bool) -> snapshot::Use {
-        let gone_for = record.missing_since.map(|since| now.since(since));
-        match record.presence {
-            beliefs::Standing::Present if record.details.duty == catalog::Duty::Draining => {
-                snapshot::Use::Keep
-            }
-            beliefs::Standing::Present | beliefs::Standing::Lapsed => snapshot::Use::Place,
-            beliefs::Standing::Removed
-                if fresh
-                    && self.beliefs.is_steady(now)
-                    && gone_for.is_some_and(|gone| gone >= ENDED_AFTER) =>
-            {
-                snapshot::Use::Ended
-            }
-            beliefs::Standing::Removed | beliefs::Standing::Unreadable => snapshot::Use::Keep,
+    /// Samples what is not an event of its own for the services' objectives.
+    fn sample_objectives(&mut self, now: time::Instant) {
+        if now < self.sample_due {
+            return;
         }
-    }
-
-    fn connections(&self, service: &CompactString) -> u32 {
-        let services = self
-            .beliefs
-            .config
-            .iter()
-            .flat_map(|config| &config.services);
-        services
-            .filter(|known| known.name == *service)
-            .map(|known| known.connections)
-            .next()
-            .unwrap_or(u32::MAX)
-    }
-
-    /// What other instances know of targets, by cookie: flows and the last progress.
-    fn loads_elsewhere(
-        &self,
-        now: time::Instant,
-    ) -> HashMap<u32, (snapshot::Count, time::Instant)> {
-        let mut loads: HashMap<u32, (snapshot::Count, time::Instant)> = HashMap::new();
-        for (_, peer) in self.peers.alive(now) {
-            for load in &peer.beat.loads {
-                let (count, progressed) = loads.entry(load.cookie).or_default();
-                *count = *count
-                    + snapshot::Count {
-                        flows: u32::from(load.flows),
-                        waiting: u32::from(load.waiting),
-                    };
-                if load.progress_ms < u16::MAX {
-                    let at = peers::before(peer.heard, u32::from(load.progress_ms));
-                    *progressed = at.max(*progressed);
-                }
-            }
+        self.sample_due = now + burn::SAMPLE_INTERVAL;
+        let version = self.beliefs.version();
+        let newer = |peer: &peers::Peer| peer.beat.version > version;
+        let is_behind = self.peers.alive(now).any(|(_, peer)| newer(peer));
+        for (index, targets) in self.snapshot.services.iter().enumerate() {
+            let own = |key: key::Target| {
+                let loads = self.reports.iter().flat_map(|report| &report.loads);
+                let own = loads.filter(|load| load.target == key);
+                own.map(|load| load.count.flows).sum::<u32>()
+            };
+            let flows = |key: &key::Target| {
+                let elsewhere = self.snapshot.target(*key).map(|target| target.elsewhere);
+                own(*key) + elsewhere.unwrap_or_default().flows
+            };
+            let flows: Vec<u32> = targets.iter().map(flows).collect();
+            let history = self.burn.entry(key::Service::from(index)).or_default();
+            let objective = fleet::Objective::default();
+            history.add_samples(now, objective, is_behind, burn::imbalance(&flows));
         }
-        loads
     }
 
-    /// Routes of the configuration in force; the ones in the picture if it did not change.
-    fn routes(&mut self) -> Arc<HashMap<SocketAddrV4, snapshot::Route>> {
-        let Some(config) = self.beliefs.config.take() else {
-            return Arc::new(HashMap::new());
+    /// The burn report of this instance, by the default objectives.
+    pub fn burn_report(&self, now: time::Instant) -> burn::Report {
+        let objective = fleet::Objective::default();
+        let service = |(key, history): (&key::Service, &burn::History)| {
+            Some(burn::Service {
+                measures: burn::KINDS
+                    .map(|kind| history.measure(kind, objective))
+                    .to_vec(),
+                name: self.picture.service(*key)?.clone(),
+            })
         };
-        if config.version == self.snapshot.version {
-            self.beliefs.config = Some(config);
-            return Arc::clone(&self.snapshot.routes);
+        burn::Report {
+            instances: vec![self.config.name.clone()],
+            services: self.burn.iter().filter_map(service).collect(),
+            since_seconds: now.since(self.started).as_secs(),
+            unreachable: Vec::new(),
+            zones: vec![self.config.zone.clone()],
         }
-        let mut routes = HashMap::new();
-        for route in &config.routes {
-            let branches: Vec<snapshot::Branch> = route
-                .branches
-                .iter()
-                .map(|branch| snapshot::Branch {
-                    service: self.service(&branch.service),
-                    weight: branch.weight,
-                })
-                .collect();
-            let known = self.known.entry(route.address).or_default();
-            for branch in branches.iter().filter(|branch| branch.weight > 0) {
-                if !known.contains(&branch.service) {
-                    known.push(branch.service);
-                }
-            }
-            let known = known.clone();
-            let kind = route.kind;
-            routes.insert(
-                route.address,
-                snapshot::Route {
-                    branches,
-                    kind,
-                    known,
-                },
-            );
-        }
-        self.beliefs.config = Some(config);
-        Arc::new(routes)
     }
 }
 
-/// The index of a name, added if it is new.
-fn intern(names: &mut Vec<CompactString>, name: &CompactString) -> usize {
-    names
-        .iter()
-        .position(|known| known == name)
-        .unwrap_or_else(|| {
-            names.push(name.clone());
-            names.len() - 1
-        })
-}
-
 fn millis(duration: time::Duration) -> u32 {
     duration.as_millis().min(u128::from(u32::MAX)) as u32
 }
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -11,9 +11,9 @@
 
 use std::sync::Arc;
 
-use crate::coordination::cookie::{evidence, place, tally};
-use crate::coordination::hash;
-use crate::state::{catalog, count, flow, key, packet, segment, snapshot, time};
+use crate::coordination::cookie::{evidence, place, report, tally};
+use crate::coordination::{hash, load};
+use crate::state::{arena, catalog, count, flow, key, packet, segment, snapshot, time};
 
 /// Decisions kept for the log between two reports.
 const MAX_DECISIONS: usize = 24;
@@ -44,6 +44,15 @@
     Unknown,
 }
 
+/// A packet and the circumstances in which it is judged.
+#[derive(Clone, Copy)]
+struct Packet<'a> {
+    flow: flow::Key,
+    now: time::Instant,
+    segment: &'a segment::Segment,
+    snapshot: &'a snapshot::Snapshot,
+}
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -55,114 +64,15 @@
     Reset,
 }
 
-/// Why a decision was made, for the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cause {
-    /// A new flow was placed.
-    Placed,
-    /// The target before did not answer the first packet.
-    Unanswered,
-    /// No target can take the flow.
-    NoTarget,
-    /// There is no route at the address.
-    NoRoute,
-    /// The target answers nothing.
-    Dead,
-    /// The target has ended.
-    Ended,
-    /// The route never led to the target that the cookie names.
-    ForeignCookie,
-    /// The facts are too old to refuse a flow that has no route in them.
-    OldFacts,
-    /// No target has the cookie.
-    UnknownCookie,
-}
-
-impl Cause {
-    /// What became of the packet, in logs.
-    pub fn outcome(self) -> &'static str {
-        match self {
-            Self::Placed | Self::Unanswered => "forwarded",
-            Self::ForeignCookie | Self::OldFacts | Self::UnknownCookie => "dropped",
-            Self::Dead | Self::Ended | Self::NoRoute | Self::NoTarget => "reset",
-        }
-    }
-
-    /// Name in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Placed => "placed",
-            Self::Unanswered => "target did not answer",
-            Self::NoTarget => "no target",
-            Self::NoRoute => "no route",
-            Self::Dead => "target answers nothing",
-            Self::Ended => "target ended",
-            Self::ForeignCookie => "target not of the route",
-            Self::OldFacts => "no route, facts too old",
-            Self::UnknownCookie => "no target has the cookie",
-        }
-    }
-}
-
-/// A decision that touches a flow, with the inputs that it was made by.
-#[derive(Clone, Debug)]
-pub struct Decision {
-    /// Age of the facts when they were published.
-    pub age: time::Duration,
-    /// Revision of the facts.
-    pub as_of: u64,
-    /// When it was made.
-    pub at: time::Instant,
-    /// Why.
-    pub cause: Cause,
-    /// The flow's identifier, equal on every instance.
-    pub flow: flow::Key,
-    /// What is known to be on the target.
-    pub load: snapshot::Count,
-    /// The packet.
-    pub segment: segment::Segment,
-    /// The target, none if the flow was refused.
-    pub target: Option<key::Target>,
-    /// Version of the configuration.
-    pub version: u64,
-}
-
-/// What a traffic thread knows of one target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Load {
-    /// What is counted here.
-    pub count: snapshot::Count,
-    /// When one of its flows last made progress.
-    pub progressed: time::Instant,
-    /// The target.
-    pub target: key::Target,
-}
-
-/// What a traffic thread tells the control thread.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// Targets that are avoided.
-    pub avoided: Vec<key::Target>,
-    /// Decisions since the last report.
-    pub decisions: Vec<Decision>,
-    /// Flows seen lately.
-    pub flows: usize,
-    /// Targets with flows.
-    pub loads: Vec<Load>,
-    /// Decisions that were left out of the report.
-    pub omitted: u64,
-    /// Zones that are suspect, by zone.
-    pub suspects: Vec<bool>,
-}
-
 /// The decisions of one traffic thread.
 #[derive(Debug, Default)]
 pub struct Shard {
     /// Counters.
     pub counters: Arc<count::Set>,
-    decisions: Vec<Decision>,
+    decisions: Vec<report::Decision>,
     evidence: Vec<evidence::Evidence>,
     omitted: u64,
+    outcomes: Vec<load::Outcomes>,
     paused_until: time::Instant,
     /// When a flow of any target last made progress.
     progressed: time::Instant,
@@ -189,46 +99,41 @@
         segment: &segment::Segment,
     ) -> Verdict {
         self.counters.increment(count::Counter::Received);
-        let flow = hash::flow_key(self.secret, &segment.tuple());
+        let packet = Packet {
+            flow: hash::flow_key(self.secret, &segment.tuple()),
+            now,
+            segment,
+            snapshot,
+        };
         let Some(route) = snapshot.routes.get(&segment.route) else {
-            return self.miss(snapshot, now, flow, segment);
+            return self.miss(packet);
         };
         if segment.kind == packet::Kind::First {
-            self.open(snapshot, route, now, flow, segment)
+            self.open(packet, route)
         } else {
-            self.follow(snapshot, route, now, flow, segment)
+            self.follow(packet, route)
         }
     }
 
     /// A packet to an address without a route.
-    fn miss(
-        &mut self,
-        snapshot: &snapshot::Snapshot,
-        now: time::Instant,
-        flow: flow::Key,
-        segment: &segment::Segment,
-    ) -> Verdict {
+    fn miss(&mut self, packet: Packet<'_>) -> Verdict {
         // Old facts may lack the route, and a later copy may find it.
-        let certain = snapshot.fresh && segment.kind == packet::Kind::First;
+        let certain = packet.snapshot.fresh && packet.segment.kind == packet::Kind::First;
         if !certain {
-            self.note(snapshot, now, flow, segment, Cause::OldFacts, None);
+            self.note(packet, report::Cause::OldFacts, None);
             return Verdict::Drop(count::Counter::DropUnknownAddress);
         }
-        self.note(snapshot, now, flow, segment, Cause::NoRoute, None);
+        self.note(packet, report::Cause::NoRoute, None);
         Verdict::Reset
     }
 
-    fn open(
-        &mut self,
-        snapshot: &snapshot::Snapshot,
-        route: &snapshot::Route,
-        now: time::Instant,
-        flow: flow::Key,
-        segment: &segment::Segment,
-    ) -> Verdict {
+    fn open(&mut self, packet: Packet<'_>, route: &snapshot::Route) -> Verdict {
+        let Packet {
+            flow, now, segment, ..
+        } = packet;
         let before = self.tally.get(flow).copied();
         let mut tried = [None; 2];
-        let mut cause = Cause::Placed;
+        let mut cause = report::Cause::Placed;
         if let Some(before) = before {
             if before.open || segment.copies <= before.copies {
                 return self.forward(before.target);
@@ -236,14 +141,22 @@
             let waited = before.waiting_since.unwrap_or(now);
             self.mark_stall(now, before.target, flow, now.since(waited));
             tried = [Some(before.target), before.tried[0]];
-            cause = Cause::Unanswered;
+            cause = report::Cause::Unanswered;
         }
-        let Some(target) = self.place(snapshot, route, now, flow, tried) else {
-            self.note(snapshot, now, flow, segment, Cause::NoTarget, None);
+        let Some(target) = self.place(packet, route, tried) else {
+            self.note(packet, report::Cause::NoTarget, None);
+            if let Some(service) = place::branch(&route.branches, flow.high) {
+                self.outcomes_of(service).refused += 1;
+            }
             return Verdict::Reset;
         };
-        self.note(snapshot, now, flow, segment, cause, Some(target));
-        self.counters.increment(count::Counter::EntryCreated);
+        self.note(packet, cause, Some(target));
+        if before.is_none() {
+            self.counters.increment(count::Counter::EntryCreated);
+            if let Some(found) = packet.snapshot.target(target) {
+                self.outcomes_of(found.service).started += 1;
+            }
+        }
         self.tally.put(
             flow,
             tally::Flow {
@@ -261,85 +174,72 @@
         self.forward(target)
     }
 
-    /// Chooses a target for a new flow, the best of the first group that has one: targets without
-    /// doubt, then those whose zone is not suspect, then all that were not tried.
+    /// Chooses a target for a new flow among those of the route's services. Targets without doubt go
+    /// before those that are avoided, and these before targets of suspect zones; what was tried
+    /// comes last.
     fn place(
         &self,
-        snapshot: &snapshot::Snapshot,
+        packet: Packet<'_>,
         route: &snapshot::Route,
-        now: time::Instant,
-        flow: flow::Key,
         tried: [Option<key::Target>; 2],
     ) -> Option<key::Target> {
+        let Packet {
+            flow,
+            now,
+            snapshot,
+            ..
+        } = packet;
+        let rank = |key: key::Target, target: &snapshot::Target| {
+            if tried.contains(&Some(key)) {
+                place::Rank::Tried
+            } else if self.is_suspect(target.zone) && snapshot.zone != Some(target.zone) {
+                place::Rank::SuspectZone
+            } else if self.evidence(key).is_avoided(now) {
+                place::Rank::Avoided
+            } else {
+                place::Rank::Sound
+            }
+        };
+        let question = place::Question {
+            flow: flow.low,
+            load: |key| self.load(snapshot, key),
+            now,
+            rank,
+            snapshot,
+        };
         let first = place::branch(&route.branches, flow.high)?;
         let others = route.branches.iter().filter(|branch| branch.weight > 0);
-        let services = std::iter::once(first).chain(
-            others
-                .map(|branch| branch.service)
-                .filter(|service| *service != first),
-        );
-        let untried = |key: key::Target| !tried.contains(&Some(key));
-        let reachable = |key: key::Target| {
-            let zone = snapshot.target(key).map(|target| target.zone);
-            zone.is_some_and(|zone| !self.is_suspect(zone) || snapshot.zone == Some(zone))
-        };
-        let sound = |key: key::Target| !self.evidence(key).is_avoided(now);
-        for service in services {
-            let Some(candidates) = snapshot.services.get(service.index()) else {
-                continue;
-            };
-            let choose = |allowed: &dyn Fn(key::Target) -> bool| {
-                let question = place::Question {
-                    allowed,
-                    flow: flow.low,
-                    load: |key| self.load(snapshot, key),
-                    now,
-                    snapshot,
-                };
-                place::choose(&question, candidates)
-            };
-            let chosen = choose(&|key| untried(key) && reachable(key) && sound(key))
-                .or_else(|| choose(&|key| untried(key) && reachable(key)))
-                .or_else(|| choose(&untried))
-                .or_else(|| choose(&|_| true));
-            if chosen.is_some() {
-                return chosen;
-            }
-        }
-        None
+        let others = others.map(|branch| branch.service);
+        std::iter::once(first)
+            .chain(others.filter(|service| *service != first))
+            .filter_map(|service| snapshot.services.get(service.index()))
+            .find_map(|candidates| place::choose(&question, candidates))
     }
 
-    fn follow(
-        &mut self,
-        snapshot: &snapshot::Snapshot,
-        route: &snapshot::Route,
-        now: time::Instant,
-        flow: flow::Key,
-        segment: &segment::Segment,
-    ) -> Verdict {
+    fn follow(&mut self, packet: Packet<'_>, route: &snapshot::Route) -> Verdict {
+        let Packet {
+            flow,
+            now,
+            segment,
+            snapshot,
+        } = packet;
         let known = snapshot.cookies.get(&segment.cookie).copied();
         let known = known.and_then(|key| Some((key, snapshot.target(key)?)));
         let Some((key, target)) = known else {
-            self.note(snapshot, now, flow, segment, Cause::UnknownCookie, None);
+            self.note(packet, report::Cause::UnknownCookie, None);
             return Verdict::Drop(count::Counter::DropUnknownCookie);
         };
         // Without the history of the routes, the target itself has to know its flows.
         if snapshot.strict && !route.known.contains(&target.service) {
-            self.note(
-                snapshot,
-                now,
-                flow,
-                segment,
-                Cause::ForeignCookie,
-                Some(key),
-            );
+            self.note(packet, report::Cause::ForeignCookie, Some(key));
             return Verdict::Drop(count::Counter::DropForeignCookie);
         }
-        let step = self.observe(now, flow, segment, key);
+        let step = self.observe(packet, key);
         if segment.kind == packet::Kind::Middle
             && let Some(cause) = self.broken(route, now, target, key, step)
         {
-            self.note(snapshot, now, flow, segment, cause, Some(key));
+            self.note(packet, cause, Some(key));
+            self.outcomes_of(target.service).lost += 1;
             self.tally.remove(flow);
             return Verdict::Reset;
         }
@@ -350,13 +250,10 @@
     }
 
     /// Takes what a later packet shows.
-    fn observe(
-        &mut self,
-        now: time::Instant,
-        flow: flow::Key,
-        segment: &segment::Segment,
-        target: key::Target,
-    ) -> Step {
+    fn observe(&mut self, packet: Packet<'_>, target: key::Target) -> Step {
+        let Packet {
+            flow, now, segment, ..
+        } = packet;
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         let fresh = tally::Flow {
             acknowledged: segment.acknowledged,
@@ -414,7 +311,7 @@
         target: &snapshot::Target,
         key: key::Target,
         step: Step,
-    ) -> Option<Cause> {
+    ) -> Option<report::Cause> {
         let alone = now.since(self.progressed) >= OTHERS_WINDOW;
         // This instance's own link may be what loses packets, which others then would not see.
         let alive = now.since(target.progressed) < ELSEWHERE_WINDOW;
@@ -422,13 +319,13 @@
             return None;
         }
         if target.usage == snapshot::Use::Ended && step != Step::Unknown {
-            return Some(Cause::Ended);
+            return Some(report::Cause::Ended);
         }
         let truthful = match route.kind {
             catalog::Kind::Idempotent => step != Step::Unknown,
             catalog::Kind::Once => step == Step::New,
         };
-        truthful.then_some(Cause::Dead)
+        truthful.then_some(report::Cause::Dead)
     }
 
     /// Notes the passing of time.
@@ -442,7 +339,7 @@
     }
 
     /// What there is to tell since the last report.
-    pub fn report(&mut self, snapshot: &snapshot::Snapshot, now: time::Instant) -> Report {
+    pub fn report(&mut self, snapshot: &snapshot::Snapshot, now: time::Instant) -> report::Report {
         let avoided = snapshot
             .services
             .iter()
@@ -450,20 +347,21 @@
             .copied()
             .filter(|key| self.evidence(*key).is_avoided(now))
             .collect();
-        Report {
+        report::Report {
             avoided,
             decisions: std::mem::take(&mut self.decisions),
             flows: self.tally.len(),
             loads: self
                 .tally
                 .counts()
-                .map(|(target, count)| Load {
+                .map(|(target, count)| report::Load {
                     count,
                     progressed: self.evidence(target).progressed,
                     target,
                 })
                 .collect(),
             omitted: std::mem::take(&mut self.omitted),
+            outcomes: std::mem::take(&mut self.outcomes),
             suspects: self.suspects.clone(),
         }
     }
@@ -488,12 +386,7 @@
     }
 
     fn evidence_mut(&mut self, key: key::Target) -> &mut evidence::Evidence {
-        let index = key.index();
-        if self.evidence.len() <= index {
-            self.evidence
-                .resize(index + 1, evidence::Evidence::default());
-        }
-        &mut self.evidence[index]
+        arena::slot(&mut self.evidence, key.index())
     }
 
     fn mark_stall(
@@ -516,27 +409,24 @@
         self.suspects.get(zone.index()).copied().unwrap_or(false)
     }
 
-    fn note(
-        &mut self,
-        snapshot: &snapshot::Snapshot,
-        now: time::Instant,
-        flow: flow::Key,
-        segment: &segment::Segment,
-        cause: Cause,
-        target: Option<key::Target>,
-    ) {
+    fn outcomes_of(&mut self, service: key::Service) -> &mut load::Outcomes {
+        arena::slot(&mut self.outcomes, service.index())
+    }
+
+    fn note(&mut self, packet: Packet<'_>, cause: report::Cause, target: Option<key::Target>) {
         if self.decisions.len() >= MAX_DECISIONS {
             self.omitted += 1;
             return;
         }
-        self.decisions.push(Decision {
+        let snapshot = packet.snapshot;
+        self.decisions.push(report::Decision {
             age: snapshot.age,
             as_of: snapshot.as_of,
-            at: now,
+            at: packet.now,
             cause,
-            flow,
+            flow: packet.flow,
             load: target.map_or_else(snapshot::Count::default, |key| self.load(snapshot, key)),
-            segment: *segment,
+            segment: *packet.segment,
             target,
             version: snapshot.version,
         });
--- a/lib/src/coordination/cookie/mod.rs
+++ b/lib/src/coordination/cookie/mod.rs
@@ -10,5 +10,7 @@
 pub mod evidence;
 pub mod forward;
 pub mod peers;
+pub mod picture;
 pub mod place;
+pub mod report;
 pub mod tally;
--- a/lib/src/coordination/cookie/peers.rs
+++ b/lib/src/coordination/cookie/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::coordination::cookie::beat;
 use crate::coordination::hash;
-use crate::state::{arena, key, random, time};
+use crate::state::{arena, key, random, snapshot, time};
 
 /// Silence after which a peer no longer counts as alive; three heartbeats may be lost.
 const ALIVE_FOR: time::Duration = time::Duration::from_millis(1_000);
@@ -80,6 +80,7 @@
     alive: HashMap<key::Peer, bool>,
     by_address: HashMap<SocketAddr, key::Peer>,
     hints: Vec<SocketAddr>,
+    is_seed: bool,
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
 }
@@ -91,6 +92,7 @@
             alive: HashMap::new(),
             by_address: HashMap::new(),
             hints: Vec::new(),
+            is_seed: false,
             known: arena::Arena::default(),
             own,
             seeds: Vec::new(),
@@ -101,6 +103,7 @@
 
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.is_seed = seeds.is_empty() || seeds.contains(&self.own);
         self.seeds = seeds
             .iter()
             .copied()
@@ -223,8 +226,28 @@
     }
 
     /// Whether this instance is one of the seeds or has none.
-    pub fn is_seed(&self, configured: &[SocketAddr]) -> bool {
-        configured.is_empty() || configured.contains(&self.own)
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
+    /// What the peers alive know of targets, by cookie: flows and the last progress.
+    pub fn loads(&self, now: time::Instant) -> HashMap<u32, (snapshot::Count, time::Instant)> {
+        let mut loads: HashMap<u32, (snapshot::Count, time::Instant)> = HashMap::new();
+        for (_, peer) in self.alive(now) {
+            for load in &peer.beat.loads {
+                let (count, progressed) = loads.entry(load.cookie).or_default();
+                *count = *count
+                    + snapshot::Count {
+                        flows: u32::from(load.flows),
+                        waiting: u32::from(load.waiting),
+                    };
+                if load.progress_ms < u16::MAX {
+                    let at = before(peer.heard, u32::from(load.progress_ms));
+                    *progressed = at.max(*progressed);
+                }
+            }
+        }
+        loads
     }
 
     /// A score by which instances are ranked the same everywhere.
--- /dev/null
+++ b/lib/src/coordination/cookie/picture.rs
@@ -0,0 +1,258 @@
+//! Builds the immutable picture by which traffic threads work.
+//!
+//! Names are interned once, so that keys of services and zones stay the same for the life of the
+//! process. What follows from the set of targets or from the configuration alone is kept until these
+//! change; what follows from the time, such as the age of a missing registration, is built anew.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+
+use crate::coordination::cookie::catalog as beliefs;
+use crate::state::{catalog, key, snapshot, time};
+
+/// Age up to which facts are good enough to refuse a flow by them; the bound in which a change must
+/// be in force is three seconds.
+const FRESH_FOR: time::Duration = time::Duration::from_millis(2_500);
+/// Time for which a registration must have been gone before its target counts as ended; a living
+/// target registers again within about two seconds.
+const ENDED_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Time after which this instance has seen every configuration under which a living flow can have been
+/// opened; the longest life of a flow, 60 s, and a margin.
+const HISTORY: time::Duration = time::Duration::from_secs(65);
+/// Time for which a service of which nothing is registered any more keeps its former targets; a living
+/// one registers again within about two seconds, and three are the bound for new flows.
+const VANISHED_FOR: time::Duration = time::Duration::from_millis(2_300);
+
+/// What peers know of a target: its flows with them, and their last progress.
+pub type Elsewhere = (snapshot::Count, time::Instant);
+
+/// Names with a number each, which never changes.
+#[derive(Clone, Debug, Default)]
+struct Names {
+    index: HashMap<CompactString, usize>,
+    list: Arc<Vec<CompactString>>,
+}
+
+impl Names {
+    /// The number of a name, given now if it is new.
+    fn intern(&mut self, name: &CompactString) -> usize {
+        if let Some(index) = self.index.get(name) {
+            return *index;
+        }
+        let index = self.list.len();
+        self.index.insert(name.clone(), index);
+        Arc::make_mut(&mut self.list).push(name.clone());
+        index
+    }
+}
+
+/// What is kept between two pictures.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    connections: HashMap<key::Service, u32>,
+    cookies: Arc<HashMap<snapshot::Cookie, key::Target>>,
+    generation: u64,
+    /// Services that each address ever led to.
+    known: HashMap<SocketAddrV4, Vec<key::Service>>,
+    /// Membership of the targets for which the cookies were collected.
+    members: Option<u64>,
+    routes: Arc<HashMap<SocketAddrV4, snapshot::Route>>,
+    services: Names,
+    started: time::Instant,
+    version: u64,
+    zones: Names,
+}
+
+impl Builder {
+    /// A builder for an instance of a zone that started at `now`.
+    pub fn new(zone: &CompactString, now: time::Instant) -> Self {
+        let mut zones = Names::default();
+        zones.intern(zone);
+        Self {
+            connections: HashMap::new(),
+            cookies: Arc::default(),
+            generation: 0,
+            known: HashMap::new(),
+            members: None,
+            routes: Arc::default(),
+            services: Names::default(),
+            started: now,
+            version: 0,
+            zones,
+        }
+    }
+
+    /// The name of a service.
+    pub fn service(&self, key: key::Service) -> Option<&CompactString> {
+        self.services.list.get(key.index())
+    }
+
+    /// The picture of what is believed now. `elsewhere` is what peers know of targets, by cookie.
+    pub fn build(
+        &mut self,
+        now: time::Instant,
+        beliefs: &beliefs::Catalog,
+        elsewhere: &HashMap<u32, Elsewhere>,
+    ) -> snapshot::Snapshot {
+        self.take_config(beliefs);
+        self.take_members(beliefs);
+        let age = beliefs.age(now).unwrap_or(time::Duration::MAX);
+        let fresh = age < FRESH_FOR;
+        let mut targets = vec![None; beliefs.targets.slot_count()];
+        let mut placeable: Vec<Vec<key::Target>> = Vec::new();
+        let mut vanished: Vec<Vec<key::Target>> = Vec::new();
+        for (key, record) in beliefs.targets.iter() {
+            let target = self.target(now, beliefs, record, elsewhere, fresh);
+            // Of two targets with one cookie, only the one of the lower identity takes new flows.
+            let shadowed = self.cookies.get(&record.cookie) != Some(&key);
+            for list in [&mut placeable, &mut vanished] {
+                list.resize(self.services.list.len(), Vec::new());
+            }
+            if target.usage == snapshot::Use::Place && !shadowed {
+                placeable[target.service.index()].push(key);
+            } else if has_just_vanished(now, record) {
+                vanished[target.service.index()].push(key);
+            }
+            targets[key.index()] = Some(target);
+        }
+        // Registrations of a service that all vanish at once more likely lapsed together than their
+        // targets ended together.
+        for (placeable, vanished) in placeable.iter_mut().zip(vanished) {
+            if placeable.is_empty() {
+                *placeable = vanished;
+            }
+        }
+        self.generation += 1;
+        snapshot::Snapshot {
+            age,
+            as_of: beliefs.as_of,
+            cookies: Arc::clone(&self.cookies),
+            fresh,
+            generation: self.generation,
+            routes: Arc::clone(&self.routes),
+            services: placeable,
+            strict: now.since(self.started) >= HISTORY,
+            targets,
+            version: beliefs.version(),
+            zone: Some(key::Zone(0)),
+            zones: Arc::clone(&self.zones.list),
+        }
+    }
+
+    fn target(
+        &mut self,
+        now: time::Instant,
+        beliefs: &beliefs::Catalog,
+        record: &beliefs::Record,
+        elsewhere: &HashMap<u32, Elsewhere>,
+        fresh: bool,
+    ) -> snapshot::Target {
+        let service = key::Service::from(self.services.intern(&record.details.service));
+        let (count, progressed) = elsewhere.get(&record.cookie.0).copied().unwrap_or_default();
+        snapshot::Target {
+            address: record.details.address,
+            cold_until: record.cold_until,
+            connections: self.connections.get(&service).copied().unwrap_or(u32::MAX),
+            cookie: record.cookie,
+            elsewhere: count,
+            id: record.id,
+            progressed,
+            service,
+            slots: record.details.slots,
+            usage: usage(now, beliefs, record, fresh),
+            zone: self.zones.intern(&record.details.zone).into(),
+        }
+    }
+
+    /// Collects the cookies anew if the set of targets has changed.
+    fn take_members(&mut self, beliefs: &beliefs::Catalog) {
+        if self.members == Some(beliefs.members) {
+            return;
+        }
+        self.members = Some(beliefs.members);
+        let mut cookies: HashMap<snapshot::Cookie, (key::Name, key::Target)> = HashMap::new();
+        for (key, record) in beliefs.targets.iter() {
+            let kept = cookies.entry(record.cookie).or_insert((record.id, key));
+            if record.id < kept.0 {
+                *kept = (record.id, key);
+            }
+        }
+        let cookies = cookies.into_iter().map(|(cookie, (_, key))| (cookie, key));
+        self.cookies = Arc::new(cookies.collect());
+    }
+
+    /// Takes routes and limits of the configuration in force if it is another one than before.
+    fn take_config(&mut self, beliefs: &beliefs::Catalog) {
+        let Some(config) = &beliefs.config else {
+            return;
+        };
+        if config.version == self.version {
+            return;
+        }
+        self.version = config.version;
+        let routes = config.routes.iter();
+        self.routes = Arc::new(routes.map(|route| self.route(route)).collect());
+        let limits = config.services.iter();
+        self.connections = limits
+            .map(|service| {
+                let key = self.services.intern(&service.name);
+                (key.into(), service.connections)
+            })
+            .collect();
+    }
+
+    fn route(&mut self, route: &catalog::Route) -> (SocketAddrV4, snapshot::Route) {
+        let branches: Vec<snapshot::Branch> = route
+            .branches
+            .iter()
+            .map(|branch| snapshot::Branch {
+                service: self.services.intern(&branch.service).into(),
+                weight: branch.weight,
+            })
+            .collect();
+        let known = self.known.entry(route.address).or_default();
+        let used = branches.iter().filter(|branch| branch.weight > 0);
+        let seen: HashSet<key::Service> = known.iter().copied().collect();
+        let new = used.map(|branch| branch.service);
+        known.extend(new.filter(|service| !seen.contains(service)));
+        let found = snapshot::Route {
+            branches,
+            kind: route.kind,
+            known: known.clone(),
+        };
+        (route.address, found)
+    }
+}
+
+fn usage(
+    now: time::Instant,
+    beliefs: &beliefs::Catalog,
+    record: &beliefs::Record,
+    fresh: bool,
+) -> snapshot::Use {
+    let gone_for = record.missing_since.map(|since| now.since(since));
+    match record.presence {
+        beliefs::Standing::Present if record.details.duty == catalog::Duty::Draining => {
+            snapshot::Use::Keep
+        }
+        beliefs::Standing::Present | beliefs::Standing::Lapsed => snapshot::Use::Place,
+        beliefs::Standing::Removed
+            if fresh
+                && beliefs.is_steady(now)
+                && gone_for.is_some_and(|gone| gone >= ENDED_AFTER) =>
+        {
+            snapshot::Use::Ended
+        }
+        beliefs::Standing::Removed | beliefs::Standing::Unreadable => snapshot::Use::Keep,
+    }
+}
+
+fn has_just_vanished(now: time::Instant, record: &beliefs::Record) -> bool {
+    let gone = record.missing_since.map(|since| now.since(since));
+    record.presence == beliefs::Standing::Removed
+        && record.details.duty == catalog::Duty::Active
+        && gone.is_some_and(|gone| gone < VANISHED_FOR)
+}
--- a/lib/src/coordination/cookie/place.rs
+++ b/lib/src/coordination/cookie/place.rs
@@ -16,38 +16,57 @@
 /// any was seen to wait.
 const MIN_OCCUPANCY: f64 = 0.02;
 
+/// How far a target is to be preferred, best first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Rank {
+    /// Nothing speaks against it.
+    Sound,
+    /// Its flows lately made no progress.
+    Avoided,
+    /// Its zone seems to be out of reach.
+    SuspectZone,
+    /// It did not answer an earlier copy of the packet.
+    Tried,
+}
+
 /// What the choice goes by.
-pub struct Question<'a, L, F> {
-    /// Whether a target may be chosen at all.
-    pub allowed: F,
+pub struct Question<'a, L, R> {
     /// Identifier of the flow, which decides between equal targets.
     pub flow: u64,
     /// What is known to be on a target.
     pub load: L,
     /// Present time.
     pub now: time::Instant,
+    /// How far a target is to be preferred; only the best rank found is chosen from.
+    pub rank: R,
     /// The picture in force.
     pub snapshot: &'a snapshot::Snapshot,
 }
 
-/// Chooses among candidates; none when none is allowed.
-pub fn choose<L, F>(
-    question: &Question<'_, L, F>,
+/// Chooses among candidates; none when all hold as many flows as they may.
+pub fn choose<L, R>(
+    question: &Question<'_, L, R>,
     candidates: &[key::Target],
 ) -> Option<key::Target>
 where
     L: Fn(key::Target) -> snapshot::Count,
-    F: Fn(key::Target) -> bool,
+    R: Fn(key::Target, &snapshot::Target) -> Rank,
 {
-    let usable: Vec<(key::Target, &snapshot::Target, snapshot::Count)> = candidates
+    let ranked: Vec<(Rank, key::Target, &snapshot::Target, snapshot::Count)> = candidates
         .iter()
-        .filter(|key| (question.allowed)(**key))
         .filter_map(|key| {
             let target = question.snapshot.target(*key)?;
             let load = (question.load)(*key);
-            (load.flows < target.connections).then_some((*key, target, load))
+            let rank = (question.rank)(*key, target);
+            (load.flows < target.connections).then_some((rank, *key, target, load))
         })
         .collect();
+    let best = ranked.iter().map(|(rank, ..)| *rank).min()?;
+    let usable: Vec<(key::Target, &snapshot::Target, snapshot::Count)> = ranked
+        .into_iter()
+        .filter(|(rank, ..)| *rank == best)
+        .map(|(_, key, target, load)| (key, target, load))
+        .collect();
     let total = usable
         .iter()
         .fold(snapshot::Count::default(), |sum, (_, _, load)| sum + *load);
--- /dev/null
+++ b/lib/src/coordination/cookie/report.rs
@@ -0,0 +1,106 @@
+//! What a traffic thread tells the control thread: its decisions, for the log, and what it counts.
+
+use crate::coordination::load;
+use crate::state::{flow, key, segment, snapshot, time};
+
+/// Why a decision was made, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// A new flow was placed.
+    Placed,
+    /// The target before did not answer the first packet.
+    Unanswered,
+    /// No target can take the flow.
+    NoTarget,
+    /// There is no route at the address.
+    NoRoute,
+    /// The target answers nothing.
+    Dead,
+    /// The target has ended.
+    Ended,
+    /// The route never led to the target that the cookie names.
+    ForeignCookie,
+    /// The facts are too old to refuse a flow that has no route in them.
+    OldFacts,
+    /// No target has the cookie.
+    UnknownCookie,
+}
+
+impl Cause {
+    /// What became of the packet, in logs.
+    pub fn outcome(self) -> &'static str {
+        match self {
+            Self::Placed | Self::Unanswered => "forwarded",
+            Self::ForeignCookie | Self::OldFacts | Self::UnknownCookie => "dropped",
+            Self::Dead | Self::Ended | Self::NoRoute | Self::NoTarget => "reset",
+        }
+    }
+
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::Unanswered => "target did not answer",
+            Self::NoTarget => "no target",
+            Self::NoRoute => "no route",
+            Self::Dead => "target answers nothing",
+            Self::Ended => "target ended",
+            Self::ForeignCookie => "target not of the route",
+            Self::OldFacts => "no route, facts too old",
+            Self::UnknownCookie => "no target has the cookie",
+        }
+    }
+}
+
+/// A decision that touches a flow, with the inputs that it was made by.
+#[derive(Clone, Debug)]
+pub struct Decision {
+    /// Age of the facts when they were published.
+    pub age: time::Duration,
+    /// Revision of the facts.
+    pub as_of: u64,
+    /// When it was made.
+    pub at: time::Instant,
+    /// Why.
+    pub cause: Cause,
+    /// The flow's identifier, equal on every instance.
+    pub flow: flow::Key,
+    /// What is known to be on the target.
+    pub load: snapshot::Count,
+    /// The packet.
+    pub segment: segment::Segment,
+    /// The target, none if the flow was refused.
+    pub target: Option<key::Target>,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+/// What a traffic thread knows of one target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// What is counted here.
+    pub count: snapshot::Count,
+    /// When one of its flows last made progress.
+    pub progressed: time::Instant,
+    /// The target.
+    pub target: key::Target,
+}
+
+/// What a traffic thread tells the control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Targets that are avoided.
+    pub avoided: Vec<key::Target>,
+    /// Decisions since the last report.
+    pub decisions: Vec<Decision>,
+    /// Flows seen lately.
+    pub flows: usize,
+    /// Targets with flows.
+    pub loads: Vec<Load>,
+    /// What became of each service's flows since the last report.
+    pub outcomes: Vec<load::Outcomes>,
+    /// Decisions that were left out of the report.
+    pub omitted: u64,
+    /// Zones that are suspect, by zone.
+    pub suspects: Vec<bool>,
+}
--- a/lib/src/coordination/cookie/tally.rs
+++ b/lib/src/coordination/cookie/tally.rs
@@ -109,10 +109,6 @@
     }
 
     fn slot(&mut self, target: key::Target) -> &mut snapshot::Count {
-        let index = target.index();
-        if self.counts.len() <= index {
-            self.counts.resize(index + 1, snapshot::Count::default());
-        }
-        &mut self.counts[index]
+        arena::slot(&mut self.counts, target.index())
     }
 }
--- a/lib/src/coordination/load.rs
+++ b/lib/src/coordination/load.rs
@@ -4,7 +4,7 @@
 //! ends are counted wherever they are seen, and only the sum over all instances is their number.
 
 use crate::coordination::health;
-use crate::state::{key, time};
+use crate::state::{arena, key, time};
 
 /// Time between fadings of the recent placements.
 pub const RECENT_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -48,14 +48,6 @@
     starts: Vec<health::Starts>,
 }
 
-/// The slot of a target in a vector that grows as needed.
-fn slot<T: Clone + Default>(values: &mut Vec<T>, target: key::Target) -> &mut T {
-    if values.len() <= target.index() {
-        values.resize(target.index() + 1, T::default());
-    }
-    &mut values[target.index()]
-}
-
 impl Load {
     /// Open flows counted on a target.
     pub fn open(&self, target: key::Target) -> i64 {
@@ -79,23 +71,23 @@
 
     /// Counts an entry that this shard now owns.
     pub fn add_owned(&mut self, target: key::Target) {
-        *slot(&mut self.owned, target) += 1;
+        *arena::slot(&mut self.owned, target.index()) += 1;
     }
 
     /// Counts an entry that this shard no longer owns.
     pub fn remove_owned(&mut self, target: key::Target) {
-        let owned = slot(&mut self.owned, target);
+        let owned = arena::slot(&mut self.owned, target.index());
         *owned = owned.saturating_sub(1);
     }
 
     /// Counts the start or, below zero, the end of a flow of a direct bucket.
     pub fn add_direct(&mut self, target: key::Target, change: f64) {
-        *slot(&mut self.direct, target) += change;
+        *arena::slot(&mut self.direct, target.index()) += change;
     }
 
     /// Counts a flow that was placed away from its home for the sake of load.
     pub fn add_recent(&mut self, target: key::Target) {
-        *slot(&mut self.recent, target) += 1.0;
+        *arena::slot(&mut self.recent, target.index()) += 1.0;
     }
 
     /// Forgets part of the net of direct flows, so that flows whose end was not seen fade.
@@ -110,7 +102,7 @@
         (0..targets)
             .map(key::Target::from)
             .map(|target| {
-                let starts = std::mem::take(slot(&mut self.starts, target));
+                let starts = std::mem::take(arena::slot(&mut self.starts, target.index()));
                 Count {
                     flows: self.open(target) as i32,
                     repeats: starts.repeated,
@@ -123,13 +115,13 @@
 
     /// Counts a first packet of a new flow.
     pub fn add_first(&mut self, target: key::Target) {
-        let starts = slot(&mut self.starts, target);
+        let starts = arena::slot(&mut self.starts, target.index());
         starts.first = starts.first.saturating_add(1);
     }
 
     /// Counts a first packet that was sent again.
     pub fn add_repeated(&mut self, target: key::Target) {
-        let starts = slot(&mut self.starts, target);
+        let starts = arena::slot(&mut self.starts, target.index());
         starts.repeated = starts.repeated.saturating_add(1);
     }
 }
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -139,11 +139,7 @@
     }
 
     fn outcomes_of(&mut self, service: key::Service) -> &mut load::Outcomes {
-        if self.outcomes.len() <= service.index() {
-            self.outcomes
-                .resize(service.index() + 1, load::Outcomes::default());
-        }
-        &mut self.outcomes[service.index()]
+        arena::slot(&mut self.outcomes, service.index())
     }
 
     /// Decides what becomes of a packet.
--- a/lib/src/protocol/report.rs
+++ b/lib/src/protocol/report.rs
@@ -30,10 +30,9 @@
 }
 
 fn heading(report: &burn::Report) -> String {
-    let instances: Vec<String> = report.instances.iter().map(ToString::to_string).collect();
     format!(
         "instances {} in {}; counting for {} s",
-        instances.join(", "),
+        report.instances.join(", "),
         report.zones.join(", "),
         report.since_seconds
     )
--- a/lib/src/protocol/status.rs
+++ b/lib/src/protocol/status.rs
@@ -14,8 +14,10 @@
 pub struct Peer {
     /// Whether it counts as alive.
     pub alive: bool,
-    /// Number of the instance.
+    /// Number of the instance; its place in the list where instances have no numbers.
     pub instance: u16,
+    /// Name of the instance, which is its number where it has one.
+    pub name: CompactString,
     /// Stage, if it was heard.
     pub phase: Option<message::Phase>,
     /// Revision that it has accepted.
@@ -86,8 +88,10 @@
     pub counters: BTreeMap<CompactString, u64>,
     /// Flow entries.
     pub entries: u64,
-    /// Number of this instance.
+    /// Number of this instance; zero where instances have names only.
     pub instance: u16,
+    /// Name of this instance, which is its number where it has one.
+    pub name: CompactString,
     /// Peers.
     pub peers: Vec<Peer>,
     /// Stage of this instance.
--- a/lib/src/state/arena.rs
+++ b/lib/src/state/arena.rs
@@ -88,3 +88,11 @@
             .filter_map(|(index, slot)| slot.as_ref().map(|item| (K::from(index), item)))
     }
 }
+
+/// The slot of an index in a vector that grows as needed.
+pub fn slot<T: Clone + Default>(values: &mut Vec<T>, index: usize) -> &mut T {
+    if values.len() <= index {
+        values.resize(index + 1, T::default());
+    }
+    &mut values[index]
+}
--- a/lib/src/transport/control.rs
+++ b/lib/src/transport/control.rs
@@ -307,6 +307,7 @@
             counters: totals(&self.parts.counters),
             entries: self.entries,
             instance: control.config.self_key.0,
+            name: control.config.self_key.0.to_string().into(),
             peers: peers(control, now),
             phase: Some(control.membership.phase),
             platform_reachable: self.platform_reachable,
@@ -360,6 +361,7 @@
         .map(|(key, peer)| status::Peer {
             alive: peer.alive,
             instance: key.0,
+            name: key.0.to_string().into(),
             phase: peer.phase,
             revision: peer.revision,
             silent_ms: (peer.heard > time::Instant(0))
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -10,6 +10,7 @@
 use crossbeam_channel::{Receiver, Sender};
 use hdrhistogram::Histogram;
 
+use crate::coordination::burn;
 use crate::coordination::cookie::{beat, core};
 use crate::protocol::{cookie_settings, fault, status, wire};
 use crate::state::{catalog, count, key, snapshot, time};
@@ -46,6 +47,8 @@
 
 /// What the control thread works with.
 pub struct Parts {
+    /// Burn report that operators see.
+    pub burn: Arc<ArcSwap<burn::Report>>,
     /// Clock of the process.
     pub clock: clock::Clock,
     /// Control decisions.
@@ -141,7 +144,7 @@
                 if report.omitted > 0 {
                     journal::omitted(&self.parts.log, report.omitted);
                 }
-                self.parts.core.on_report(shard, report);
+                self.parts.core.on_report(now, shard, report);
             }
             // Both histograms have the same bounds.
             Event::Traffic(_, traffic::Event::Times(times)) => drop(self.times.add(&times)),
@@ -242,7 +245,7 @@
         match cookie_settings::parse(&file, &text) {
             Ok(settings) => {
                 slog::info!(self.parts.log, "reloaded"; "seeds" => settings.seeds.len());
-                self.parts.core.set_seeds(settings.seeds.clone());
+                self.parts.core.set_seeds(&settings.seeds);
                 self.parts.settings = settings;
             }
             Err(report) => {
@@ -309,6 +312,7 @@
             counters: control::totals(&self.parts.counters),
             entries: core.reports.iter().map(|report| report.flows as u64).sum(),
             instance: SENDER.0,
+            name: core.config.name.clone(),
             peers: peers(core, now),
             phase: None,
             platform_reachable: core.is_publisher_reachable(),
@@ -322,6 +326,7 @@
             zone: core.config.zone.clone(),
         };
         self.parts.status.store(Arc::new(status));
+        self.parts.burn.store(Arc::new(core.burn_report(now)));
     }
 }
 
@@ -332,6 +337,7 @@
         .map(|(key, peer)| status::Peer {
             alive: peer.is_alive(now),
             instance: key.0,
+            name: peer.beat.name.clone(),
             phase: None,
             revision: peer.beat.version,
             silent_ms: Some(journal::millis(now.since(peer.heard))),
--- a/lib/src/transport/cookie/front.rs
+++ b/lib/src/transport/cookie/front.rs
@@ -2,7 +2,7 @@
 //! published facts, as functions.
 
 use crate::protocol::fault;
-use crate::state::{catalog, segment, snapshot, time};
+use crate::state::{catalog, segment, snapshot};
 
 /// The packet format.
 #[derive(Clone, Copy)]
@@ -22,8 +22,6 @@
     pub delta: catalog::Delta,
     /// What could not be understood, for the log.
     pub faults: Vec<String>,
-    /// Time to leave before the next call.
-    pub pause: time::Duration,
 }
 
 /// Reads what changed after a revision; everything after zero. Waits for a change for a bounded
--- a/lib/src/transport/cookie/journal.rs
+++ b/lib/src/transport/cookie/journal.rs
@@ -3,7 +3,7 @@
 //! Every line that touches a flow has the flow's identifier, which is equal on every instance, and
 //! the revision and age of the facts that it was decided by.
 
-use crate::coordination::cookie::{catalog as beliefs, core, forward, peers};
+use crate::coordination::cookie::{catalog as beliefs, core, peers, report};
 use crate::protocol::fault;
 use crate::state::{flow, key, time};
 
@@ -24,7 +24,7 @@
 }
 
 /// A line for a decision on a flow.
-pub fn decision(log: &slog::Logger, core: &core::Core, decision: &forward::Decision) {
+pub fn decision(log: &slog::Logger, core: &core::Core, decision: &report::Decision) {
     slog::info!(log, "flow";
         "flow" => flow_id(decision.flow),
         "caller" => %decision.segment.caller,
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use crossbeam_channel::{Receiver, Sender, bounded};
 
+use crate::coordination::burn;
 use crate::coordination::cookie::{core, forward};
 use crate::protocol::{cookie_settings, fault, status};
 use crate::state::{code, count, key, random, snapshot, time};
@@ -22,8 +23,12 @@
 const OFFER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Largest heartbeat: loads of thousands of targets.
 const MAX_BEAT_BYTES: usize = 64 << 10;
-/// Longest wait after failed calls to the platform; short, since an outage must be seen to end.
-const BACKOFF_MAX: time::Duration = time::Duration::from_secs(1);
+/// Waits between calls to the platform. Changes must be in force within three seconds, and the end
+/// of an outage must be seen soon.
+const PACE: watch::Pace = watch::Pace {
+    backoff_max: time::Duration::from_secs(1),
+    gather: time::Duration::from_millis(400),
+};
 /// Interval at which a thread that waits for a socket looks up.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(3_600);
 
@@ -41,6 +46,7 @@
     let log = log::start(settings.log.format, &instance.name, &instance.zone);
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
     let status = Arc::new(ArcSwap::from_pointee(status::Status::default()));
+    let burn = Arc::new(ArcSwap::from_pointee(burn::Report::default()));
     let revision = Arc::new(AtomicU64::new(0));
     let mut random = random::Source::new(seed);
     let incarnation = random.below(usize::MAX) as u64;
@@ -85,7 +91,7 @@
         &revision,
         &events,
     )?;
-    serve_pages(settings, Arc::clone(&status))?;
+    serve_pages(settings, Arc::clone(&status), Arc::clone(&burn))?;
     slog::info!(log, "started"; "control" => %instance.control, "traffic" => %instance.traffic,
         "seeds" => settings.seeds.len(), "release" => env!("CARGO_PKG_VERSION"));
 
@@ -95,8 +101,9 @@
         name: instance.name.clone(),
         zone: instance.zone.clone(),
     };
-    let core = core::Core::new(config, settings.seeds.clone(), 1, random, clock.now());
+    let core = core::Core::new(config, &settings.seeds, 1, random, clock.now());
     let parts = control::Parts {
+        burn,
         clock,
         core,
         counters,
@@ -202,13 +209,13 @@
             Err(report) => lost_history || fault::code(report) == code::Code::PlatformHistory,
         };
         reading.map(|reading| watch::Answer {
-            pause: reading.pause,
+            changed: since > 0 && reading.delta.as_of > since,
             found: Some(reading),
         })
     };
     node::spawn("watch", move || {
         let random = random::Source::new(seed);
-        watch::run(&wanted, random, BACKOFF_MAX, next, |outcome| {
+        watch::run(&wanted, random, &PACE, next, |outcome| {
             // The control thread ends only with the process.
             let _ = events.send(control::Event::Platform(clock.now(), outcome));
         });
@@ -220,9 +227,12 @@
 fn serve_pages(
     settings: &cookie_settings::Settings,
     status: Arc<ArcSwap<status::Status>>,
+    burn: Arc<ArcSwap<burn::Report>>,
 ) -> fault::Result<()> {
-    let handler: page::Handler =
-        Arc::new(move |request| node::status_page(&status.load(), &request.path));
+    let handler: page::Handler = Arc::new(move |request| match request.path.as_str() {
+        "/burn" => page::json(&**burn.load()),
+        path => node::status_page(&status.load(), path),
+    });
     page::serve(
         &[settings.instance.status, settings.instance.metrics],
         handler,
--- a/lib/src/transport/cookie/traffic.rs
+++ b/lib/src/transport/cookie/traffic.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::Receiver;
 use hdrhistogram::Histogram;
 
-use crate::coordination::cookie::forward;
+use crate::coordination::cookie::{forward, report};
 use crate::state::{count, snapshot, time};
 use crate::transport::cookie::front;
 use crate::transport::{batch, clock, pump, timer, traffic};
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// What there is to tell of flows and targets.
-    Report(forward::Report),
+    Report(report::Report),
     /// Times to handle a batch, in microseconds.
     Times(Histogram<u64>),
 }
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -287,7 +287,7 @@
         watch::run(
             &wanted,
             random::Source::new(seed),
-            platform::BACKOFF_MAX,
+            &platform::PACE,
             || client.next(revision.load(Ordering::Relaxed)),
             |outcome| {
                 let _ = events.send(control_thread::Event::Platform(outcome));
--- a/lib/src/transport/platform.rs
+++ b/lib/src/transport/platform.rs
@@ -13,8 +13,11 @@
 
 /// Longest wait for an answer beyond the time that a watch may wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest wait after a failure.
-pub const BACKOFF_MAX: Duration = Duration::from_secs(15);
+/// Waits between calls: a sheet is read whole, so nothing has to gather.
+pub const PACE: watch::Pace = watch::Pace {
+    backoff_max: Duration::from_secs(15),
+    gather: Duration::ZERO,
+};
 /// Largest answer, above the platform's own limit of a megabyte for a value.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
 
@@ -59,8 +62,8 @@
             self.seen = manifest::parse(&bundle.manifest)?.revision;
         }
         Ok(watch::Answer {
+            changed: found.is_some(),
             found,
-            pause: Duration::ZERO,
         })
     }
 
--- a/lib/src/transport/watch.rs
+++ b/lib/src/transport/watch.rs
@@ -14,18 +14,26 @@
 /// What a call gave.
 #[derive(Clone, Debug)]
 pub struct Answer<T> {
+    /// Whether there was a change since the call before.
+    pub changed: bool,
     /// What is to be told.
     pub found: Option<T>,
-    /// Time to leave before the next call.
-    pub pause: time::Duration,
 }
 
-/// Calls `next` until `wanted` is closed; `tell` takes what it found or why it failed. Waits after
-/// failures grow up to `backoff_max`.
+/// Waits between calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Longest wait after a failure; waits grow up to it.
+    pub backoff_max: time::Duration,
+    /// Wait after a change, in which further ones gather.
+    pub gather: time::Duration,
+}
+
+/// Calls `next` until `wanted` is closed; `tell` takes what it found or why it failed.
 pub fn run<T>(
     wanted: &Receiver<bool>,
     mut random: random::Source,
-    backoff_max: time::Duration,
+    pace: &Pace,
     mut next: impl FnMut() -> fault::Result<Answer<T>>,
     tell: impl Fn(fault::Result<Option<T>>),
 ) {
@@ -49,12 +57,16 @@
             Ok(answer) => {
                 backoff = BACKOFF_MIN;
                 tell(Ok(answer.found));
-                answer.pause
+                if answer.changed {
+                    pace.gather
+                } else {
+                    time::Duration::ZERO
+                }
             }
             Err(report) => {
                 tell(Err(report));
                 let wait = backoff.mul_f64(0.5 + random.unit() / 2.0);
-                backoff = (backoff * 2).min(backoff_max);
+                backoff = (backoff * 2).min(pace.backoff_max);
                 wait
             }
         };
--- a/lib/tests/cookie_beliefs.rs
+++ b/lib/tests/cookie_beliefs.rs
@@ -187,7 +187,7 @@
                     zone: if number % 2 == 0 { "here" } else { "there" }.into(),
                 };
                 let random = random::Source::new(u64::from(number));
-                core::Core::new(config, seeds.clone(), 1, random, at(0))
+                core::Core::new(config, &seeds, 1, random, at(0))
             })
             .collect();
         Self { cores, now: 0 }
@@ -287,7 +287,7 @@
         name: "late".into(),
         zone: "here".into(),
     };
-    let late = core::Core::new(config, seeds, 1, random::Source::new(5), at(fleet.now));
+    let late = core::Core::new(config, &seeds, 1, random::Source::new(5), at(fleet.now));
     fleet.cores.push(late);
     fleet.run(1_000, |_| None);
     assert!(fleet.cores[3].is_ready());
