cli, protocol: explain a flow from the logs of all instances; a reference of metrics

quetzal explain FLOW FILE... puts the decisions on a flow in order over all instances, with what these noted of its targets and of their dependencies around that time, and says what the last decision means. Tests hold docs/reference-metrics.md against the exposition and the table of causes in docs/OPERATIONS.md against the code.

--- /dev/null
+++ b/cli/src/commands/explain.rs
@@ -0,0 +1,122 @@
+//! `quetzal explain`: what became of one flow, from the logs of all instances.
+
+use std::path::Path;
+use std::time::{Duration, SystemTime};
+
+use quetzal_lib::coordination::cookie::report;
+use quetzal_lib::protocol::{fault, story};
+use quetzal_lib::state::code;
+use quetzal_lib::transport::files;
+
+use crate::{context, output};
+
+pub const HELP: &str = "\
+Tells what became of one flow with a cookie, from the JSON log lines of the instances: every decision
+on it, and what the instances that decided noted of its targets and of their own dependencies around
+that time. FLOW is the caller's ADDRESS:PORT or the identifier in `flow` lines.
+
+Usage: quetzal explain FLOW FILE... [--around SECONDS] [--output text|json]
+
+  --around SECONDS  Time before the first and after the last decision (default 3)
+
+Ends with 1 if no line names the flow.
+";
+
+/// Time before and after the decisions unless something else is asked for; targets are found silent
+/// within a second, and the platform says so within about three.
+const AROUND: Duration = Duration::from_secs(3);
+
+pub fn run(mut context: context::Context) -> fault::Result<()> {
+    let around: Option<u64> = context
+        .rest
+        .opt_value_from_str("--around")
+        .map_err(|error| context::usage(error.to_string()))?;
+    let question = story::Question {
+        around: around.map_or(AROUND, Duration::from_secs),
+        flow: context.next("FLOW")?.into(),
+    };
+    let mut lines = Vec::new();
+    let mut unreadable = 0;
+    let mut file = context.next("FILE")?;
+    loop {
+        let (found, others) = story::parse(&files::read(Path::new(&file))?);
+        lines.extend(found);
+        unreadable += others;
+        match context.next("FILE") {
+            Ok(next) => file = next,
+            Err(_) => break,
+        }
+    }
+    context.finish()?;
+    let story = story::tell(&lines, &question);
+    let Some(outcome) = story::outcome(&story) else {
+        let text = format!(
+            "{}: in none of {} lines; {unreadable} others are no log lines",
+            question.flow,
+            lines.len()
+        );
+        return Err(fault::report(code::Code::NotFound, text));
+    };
+    if context.form == context::Form::Json {
+        let rows: Vec<_> = story.iter().map(row).collect();
+        return output::json(&rows);
+    }
+    print(&story, outcome);
+    Ok(())
+}
+
+fn row(line: &story::Line) -> serde_json::Value {
+    serde_json::json!({
+        "at": seconds(line.at, SystemTime::UNIX_EPOCH),
+        "fields": line.fields,
+        "instance": line.instance,
+        "message": line.message,
+    })
+}
+
+fn print(story: &[story::Line], outcome: &story::Line) {
+    let origin = story
+        .iter()
+        .find(|line| line.message == outcome.message)
+        .map_or(outcome.at, |line| line.at);
+    println!(
+        "flow {} from {} to {}: {}, {}",
+        outcome.field("flow"),
+        outcome.field("caller"),
+        outcome.field("route"),
+        outcome.field("outcome"),
+        outcome.field("cause"),
+    );
+    let cause = report::Cause::ALL
+        .iter()
+        .find(|cause| cause.name() == outcome.field("cause"));
+    if let Some(cause) = cause {
+        println!("  {}", cause.meaning());
+    }
+    let mut table = output::Table::new(&["SECONDS", "INSTANCE", "WHAT", "WITH"]);
+    for line in story {
+        let fields: Vec<String> = line
+            .fields
+            .iter()
+            .map(|(name, value)| match value.as_str() {
+                Some(text) => format!("{name}={text}"),
+                None => format!("{name}={value}"),
+            })
+            .collect();
+        table.row(vec![
+            format!("{:+.3}", seconds(line.at, origin)),
+            line.instance.to_string(),
+            line.message.to_string(),
+            fields.join(" "),
+        ]);
+    }
+    table.print();
+}
+
+/// Seconds from one instant to another, negative if it is earlier.
+fn seconds(at: SystemTime, origin: SystemTime) -> f64 {
+    match at.duration_since(origin) {
+        Ok(later) => later.as_secs_f64(),
+        Err(earlier) => -earlier.duration().as_secs_f64(),
+    }
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod diff;
 mod drain;
+mod explain;
 mod flows;
 mod instances;
 mod manifest;
@@ -23,6 +24,7 @@
     ("check", check::HELP, check::run),
     ("diff", diff::HELP, diff::run),
     ("drain", drain::HELP, drain::run),
+    ("explain", explain::HELP, explain::run),
     ("flows", flows::HELP, flows::run),
     ("instances", instances::HELP, instances::run),
     ("manifest", manifest::HELP, manifest::run),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -19,6 +19,7 @@
   manifest DIR              Print the manifest of a sheet
   diff OLD NEW              Show what a new sheet changes
   drain DIR SERVICE/TARGET  Show how to drain a target and what it moves
+  explain FLOW FILE...      Tell what became of a flow with a cookie, from logs
   status                    Show the instances asked
   services                  Show services
   targets                   Show targets
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -35,6 +35,7 @@
         "check",
         "diff",
         "drain",
+        "explain",
         "flows",
         "instances",
         "manifest",
--- a/cli/tests/files.rs
+++ b/cli/tests/files.rs
@@ -26,6 +26,30 @@
     printed.replace(&format!("{}/", directory.display()), "")
 }
 
+/// Lines of two instances on a flow whose target fell silent, of another flow, and of a tool.
+const LOG: &str = r#"
+  4.0100 one {"msg":"flow","level":"INFO","ts":"2026-04-17T19:57:30.9Z","zone":"here","instance":"one","flow":"d1b8","caller":"100.65.0.11:1032","route":"198.18.0.1:443","outcome":"forwarded","cause":"placed","target":"b5a9","age_ms":12,"as_of":23}
+{"msg":"flow","level":"INFO","ts":"2026-04-17T19:57:30.95Z","zone":"here","instance":"one","flow":"aaaa","caller":"100.65.0.12:1040","route":"198.18.0.1:443","outcome":"forwarded","cause":"placed","target":"77aa","age_ms":12,"as_of":23}
+{"msg":"target evidence","level":"INFO","ts":"2026-04-17T19:57:31.5Z","zone":"there","instance":"two","target":"b5a9","usable":false}
+{"msg":"target evidence","level":"INFO","ts":"2026-04-17T19:57:31.6Z","zone":"there","instance":"two","target":"77aa","usable":false}
+{"msg":"flow","level":"INFO","ts":"2026-04-17T19:57:31.90027832Z","zone":"there","instance":"two","flow":"d1b8","caller":"100.65.0.11:1032","route":"198.18.0.1:443","outcome":"reset","cause":"target answers nothing","target":"b5a9","age_ms":1,"as_of":23}
+{"msg":"target","level":"INFO","ts":"2026-04-17T19:57:33.2Z","zone":"there","instance":"two","target":"b5a9","standing":"Removed","revision":28,"age_ms":1}
+{"msg":"started","level":"INFO","ts":"2026-04-17T19:59:00Z","zone":"there","instance":"two"}
+built in 0.1 s
+"#;
+
+#[test]
+fn a_flow_is_explained_from_the_logs_of_all_instances() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("instances.log");
+    std::fs::write(&path, LOG).expect("a file for the test");
+    let file = path.to_string_lossy();
+    let by_caller = commands::run(&["explain", "100.65.0.11:1032", &file]);
+    assert_eq!(by_caller, commands::run(&["explain", "d1b8", &file]));
+    let unknown = commands::run(&["explain", "100.65.0.11:9", &file]);
+    let nowhere = commands::run(&["explain", "d1b8", "missing.log"]);
+    insta::assert_snapshot!(format!("{by_caller}{unknown}{nowhere}"));
+}
+
 #[test]
 fn a_wrong_settings_file_names_file_line_key_and_code() {
     let good = std::fs::read_to_string(commands::root().join("examples/guild/instance-0.ini"))
--- a/lib/src/coordination/cookie/report.rs
+++ b/lib/src/coordination/cookie/report.rs
@@ -27,6 +27,41 @@
 }
 
 impl Cause {
+    /// All causes in the order of the documents.
+    pub const ALL: [Self; 9] = [
+        Self::Placed,
+        Self::Unanswered,
+        Self::NoTarget,
+        Self::NoRoute,
+        Self::Dead,
+        Self::Ended,
+        Self::OldFacts,
+        Self::UnknownCookie,
+        Self::ForeignCookie,
+    ];
+
+    /// What it says of the request, for operators.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Self::Placed => "new flow, to the least loaded target",
+            Self::Unanswered => "copy of a first packet, to another target",
+            Self::NoTarget => "no target of the route's services can take the flow; nothing ran",
+            Self::NoRoute => "no route at the address by fresh facts; nothing ran",
+            Self::Dead => {
+                "no flow of the target makes progress while others do; of a request that may run \
+                 only once, nothing was forwarded"
+            }
+            Self::Ended => "the target's registration is gone for good",
+            Self::OldFacts => {
+                "the facts are too old to refuse; the caller's copy may find the route"
+            }
+            Self::UnknownCookie => {
+                "a forged cookie, or a target of which this instance does not know yet"
+            }
+            Self::ForeignCookie => "the cookie names a target to which the route never led",
+        }
+    }
+
     /// What became of the packet, in logs.
     pub fn outcome(self) -> &'static str {
         match self {
--- a/lib/tests/tables.rs
+++ b/lib/tests/tables.rs
@@ -1,7 +1,9 @@
 //! Default tables: even, equal everywhere, and little disturbed by a change.
 
+use quetzal_lib::coordination::cookie::report;
 use quetzal_lib::coordination::{hash, ledger, rank, table};
-use quetzal_lib::state::{code, flow, key, packet};
+use quetzal_lib::protocol::status;
+use quetzal_lib::state::{code, count, flow, key, packet};
 
 fn members(numbers: impl Iterator<Item = u32>) -> Vec<table::Member> {
     numbers
@@ -123,3 +125,78 @@
 fn row(code: code::Code) -> String {
     format!("| {code} | {} | {} |", code.meaning(), code.exit_status())
 }
+
+/// The first cells of a document's rows that begin with a prefix.
+fn names(document: &str, prefix: &str) -> Vec<String> {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(document);
+    let text = std::fs::read_to_string(path).expect("the document");
+    let rows = text.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next())
+        .filter(|name| name.starts_with(prefix))
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_document_of_metrics_names_what_is_exposed() {
+    let target = status::Target {
+        address: "".into(),
+        fitness: "".into(),
+        flows: 0,
+        homes: 0,
+        name: "".into(),
+        state: "".into(),
+        weight_percent: 0,
+        zone: "".into(),
+    };
+    let service = status::Service {
+        address: "".into(),
+        buckets: 0,
+        direct: 0,
+        flexible_share: 0,
+        name: "".into(),
+        owned: 0,
+        protocol: "".into(),
+        settling: 0,
+        targets: vec![target],
+    };
+    let quantile = vec![status::Quantile {
+        micros: 1,
+        quantile: 0.5,
+    }];
+    let counters = count::Counter::ALL.iter();
+    let full = status::Status {
+        counters: counters.map(|counter| (counter.name().into(), 0)).collect(),
+        services: vec![service],
+        times: ["batch", "hold"]
+            .map(|name| (name.into(), quantile.clone()))
+            .into(),
+        ..status::Status::default()
+    };
+    let text = status::metrics(&full);
+    let mut exposed: Vec<String> = text
+        .lines()
+        .filter(|line| !line.starts_with('#'))
+        .filter_map(|line| line.split([' ', '{']).next())
+        .map(str::to_owned)
+        .collect();
+    exposed.sort();
+    let mut documented = names("../docs/reference-metrics.md", "quetzal_");
+    documented.sort();
+    assert_eq!(documented, exposed);
+}
+
+#[test]
+fn the_document_for_failed_requests_has_every_cause() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
+    let text = std::fs::read_to_string(path).expect("the document");
+    for cause in report::Cause::ALL {
+        let row = format!(
+            "| {} | {} | {} |",
+            cause.outcome(),
+            cause.name(),
+            cause.meaning()
+        );
+        assert!(text.contains(&row), "missing: {row}");
+    }
+}
