coordination: a dead target takes twice the evidence on lossy links

Cause: an instance that nobody else vouches to took a living target for dead when several of its flows lost packets at the same time; on links that lose 5% this happened in 6 of 32,000 schedules. Change: a stall that is followed by progress shows a lost or late packet. While half of the targets with progress had one in the last five seconds, a dead target takes twice the stalled flows and twice the silence. Ruled out: raising the thresholds for all, which delays every detection; a share of a third, which slow targets reach. Before: the six schedules reset a living target's flow.

--- a/lib/src/coordination/cookie/evidence.rs
+++ b/lib/src/coordination/cookie/evidence.rs
@@ -24,6 +24,30 @@
 /// Time without progress before a target can be dead; above the time for which the longest request
 /// waits behind a full queue of a target in good order, and above two losses in a row of one flow.
 const DEAD_AFTER: time::Duration = time::Duration::from_millis(900);
+/// What the links of this instance do to packets.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Links {
+    /// Packets rarely get lost.
+    #[default]
+    Good,
+    /// Packets of many targets get lost, so that a stall says less about a target.
+    Lossy,
+}
+
+impl Links {
+    /// How much more evidence than usual a dead target takes.
+    fn caution(self) -> u32 {
+        match self {
+            Self::Good => 1,
+            Self::Lossy => 2,
+        }
+    }
+}
+
+/// Time for which a stall that was followed by progress counts for the links.
+const LOSS_WINDOW: time::Duration = time::Duration::from_secs(5);
+/// Targets with such stalls below which the links count as good, however few others there are.
+const MIN_LOSSY_TARGETS: usize = 3;
 /// Age of the last stall at which a target counts as living again until flows show otherwise; well
 /// below the time for which the users' rules excuse a target that was out of reach.
 const DEAD_MEMORY: time::Duration = time::Duration::from_millis(2_000);
@@ -35,6 +59,8 @@
     pub avoid_until: time::Instant,
     /// When one of its flows last made progress.
     pub progressed: time::Instant,
+    /// When it last made progress after a stall: a packet was lost or late, and the target lived.
+    pub recovered: time::Instant,
     /// When one of its flows was last found without progress.
     pub stalled: time::Instant,
     /// Stalls since the last progress.
@@ -49,7 +75,7 @@
 
 impl Evidence {
     /// Notes that a flow got nothing new from the target for a time.
-    pub fn stall(&mut self, now: time::Instant, flow: u64, waited: time::Duration) {
+    pub fn stall(&mut self, now: time::Instant, flow: u64, waited: time::Duration, links: Links) {
         if self.stalls == 0 || now.since(self.stalled) >= DEAD_MEMORY {
             self.stalls = 0;
             self.flows = 0;
@@ -61,7 +87,7 @@
         self.wait = self.wait.max(waited);
         self.stalled = now;
         self.stalls = self.stalls.saturating_add(1);
-        let avoidance = if self.is_dead(now) {
+        let avoidance = if self.is_dead(now, links) {
             DEAD_AVOIDANCE
         } else {
             AVOIDANCE
@@ -71,6 +97,9 @@
 
     /// Notes that a flow got something new from the target.
     pub fn progress(&mut self, now: time::Instant) {
+        if self.stalls > 0 {
+            self.recovered = now;
+        }
         self.progressed = now;
         self.stalls = 0;
         self.flows = 0;
@@ -83,10 +112,11 @@
 
     /// Whether the target answers nothing at all: several of its flows stall and none makes
     /// progress.
-    pub fn is_dead(&self, now: time::Instant) -> bool {
-        self.flows >= DEAD_FLOWS
+    pub fn is_dead(&self, now: time::Instant, links: Links) -> bool {
+        let caution = links.caution();
+        self.flows >= DEAD_FLOWS * caution
             && self.wait >= DEAD_WAIT
-            && now.since(self.progressed) >= DEAD_AFTER
+            && now.since(self.progressed) >= DEAD_AFTER * caution
             && now.since(self.stalled) < DEAD_MEMORY
     }
 }
@@ -115,3 +145,17 @@
         .map(|(stalled, living)| *stalled >= ZONE_STALLS && !living)
         .collect()
 }
+
+/// What the links do, by the targets that made progress lately: a few slow or failing targets say
+/// nothing about links, half of all do.
+pub fn links(now: time::Instant, evidence: &[Evidence]) -> Links {
+    let is_recent = |at: time::Instant| at > time::Instant(0) && now.since(at) < LOSS_WINDOW;
+    let living = evidence.iter().filter(|found| is_recent(found.progressed));
+    let lossy = living.clone().filter(|found| is_recent(found.recovered));
+    let (living, lossy) = (living.count(), lossy.count());
+    if lossy >= MIN_LOSSY_TARGETS && lossy * 2 >= living {
+        Links::Lossy
+    } else {
+        Links::Good
+    }
+}
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -71,6 +71,7 @@
     pub counters: Arc<count::Set>,
     decisions: Vec<report::Decision>,
     evidence: Vec<evidence::Evidence>,
+    links: evidence::Links,
     omitted: u64,
     outcomes: Vec<load::Outcomes>,
     paused_until: time::Instant,
@@ -315,7 +316,8 @@
         let alone = now.since(self.progressed) >= OTHERS_WINDOW;
         // This instance's own link may be what loses packets, which others then would not see.
         let alive = now.since(target.progressed) < ELSEWHERE_WINDOW;
-        if now < self.paused_until || alone || alive || !self.evidence(key).is_dead(now) {
+        if now < self.paused_until || alone || alive || !self.evidence(key).is_dead(now, self.links)
+        {
             return None;
         }
         if target.usage == snapshot::Use::Ended && step != Step::Unknown {
@@ -335,6 +337,7 @@
             self.paused_until = now + PAUSE;
         }
         self.ticked = now;
+        self.links = evidence::links(now, &self.evidence);
         self.suspects = evidence::suspect_zones(now, snapshot, |key| self.evidence(key));
     }
 
@@ -397,7 +400,8 @@
         waited: time::Duration,
     ) {
         self.counters.increment(count::Counter::FlowStalled);
-        self.evidence_mut(key).stall(now, flow.low, waited);
+        let links = self.links;
+        self.evidence_mut(key).stall(now, flow.low, waited, links);
     }
 
     fn mark_progress(&mut self, now: time::Instant, key: key::Target) {
--- a/lib/tests/cookie_property.rs
+++ b/lib/tests/cookie_property.rs
@@ -17,8 +17,10 @@
 const MAX_SERVICE_MS: usize = 400;
 /// Waits of a caller before it sends data again.
 const REPEATS_MS: [u64; 4] = [200, 600, 1_400, 3_000];
-/// Part of the packets that are lost, in per mille.
-const LOST: usize = 10;
+/// Part of the packets that are lost on good links, in per mille.
+const FEW_LOST: usize = 10;
+/// Part of the packets that are lost on bad links, in per mille.
+const MANY_LOST: usize = 50;
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Action {
@@ -43,6 +45,8 @@
 struct Run {
     callers: Vec<Caller>,
     dies_at: Vec<u64>,
+    /// Part of the packets that are lost, in per mille.
+    lost: usize,
     queue: BinaryHeap<std::cmp::Reverse<(u64, u16, u32, Action)>>,
     random: random::Source,
     resets: usize,
@@ -104,7 +108,7 @@
 }
 
 impl Run {
-    fn new(seed: u64, dead: u64, kind: catalog::Kind) -> Self {
+    fn new(seed: u64, dead: u64, kind: catalog::Kind, lost: usize) -> Self {
         let mut random = random::Source::new(seed);
         let dies_at = (0..TARGETS)
             .map(|number| {
@@ -118,6 +122,7 @@
         Self {
             callers: vec![Caller::default(); usize::from(FLOWS)],
             dies_at,
+            lost,
             queue: BinaryHeap::new(),
             random,
             resets: 0,
@@ -137,7 +142,7 @@
     }
 
     fn is_lost(&mut self) -> bool {
-        self.random.below(1_000) < LOST
+        self.random.below(1_000) < self.lost
     }
 
     fn play(&mut self) {
@@ -250,21 +255,35 @@
     }
 }
 
-/// Found by 20,000 cases of the property below, by hand: two flows that lost packets at the same time
-/// made a living target look dead to an instance that had nobody to ask.
+/// Found by 20,000 and by 32,000 schedules, by hand: flows that lost packets at the same time made a
+/// living target look dead to an instance that had nobody to ask.
 #[test]
 fn found_schedules_reset_nothing_living() {
-    for (seed, dead) in [
-        (8_857_367_298_740_471_892, 0),
-        (7_022_970_555_319_959_524, 2),
+    for (seed, dead, lost) in [
+        (8_857_367_298_740_471_892, 0, FEW_LOST),
+        (7_022_970_555_319_959_524, 2, FEW_LOST),
+        (4_492, 2, MANY_LOST),
+        (5_772, 0, MANY_LOST),
+        (11_049, 2, MANY_LOST),
+        (13_904, 0, MANY_LOST),
+        (14_836, 2, MANY_LOST),
+        (14_838, 0, MANY_LOST),
     ] {
-        Run::new(seed, dead, catalog::Kind::Idempotent).play();
+        Run::new(seed, dead, catalog::Kind::Idempotent, lost).play();
     }
 }
 
+/// Cases of the property in the tests; `PROPTEST_CASES` asks for more in a run by hand.
+const CASES: u32 = 300;
+
+fn cases() -> u32 {
+    let asked = std::env::var("PROPTEST_CASES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 300,
+        cases: cases(),
         failure_persistence: None,
         rng_seed: prop::test_runner::RngSeed::Fixed(8),
         ..ProptestConfig::default()
@@ -275,15 +294,16 @@
         seed in any::<u64>(),
         dead in 0..TARGETS / 2,
         once in any::<bool>(),
+        lost in prop::sample::select(vec![FEW_LOST, MANY_LOST]),
     ) {
         let kind = if once { catalog::Kind::Once } else { catalog::Kind::Idempotent };
-        Run::new(seed, dead, kind).play();
+        Run::new(seed, dead, kind, lost).play();
     }
 }
 
 #[test]
 fn repeatable_flows_of_dead_targets_begin_anew() {
-    let mut run = Run::new(1, 3, catalog::Kind::Idempotent);
+    let mut run = Run::new(1, 3, catalog::Kind::Idempotent, FEW_LOST);
     run.play();
     assert!(run.resets > 10, "{} resets", run.resets);
 }
