standin, daemon: a soak of real processes under faults from outside

Processes are stopped, killed, paused, started and told of new settings; connections to the store are silenced, reset, slowed and cut one way by a proxy for each instance; the store fails, forgets its history and lets entries lapse; targets fall silent, start again and are replaced under their address; routes move; packets are lost and zones cut.

--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -9,6 +9,7 @@
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
 use quetzal_lib::transport::http;
+use quetzal_standin::soak::fleet::{self, TRAFFIC_PORT};
 use quetzal_standin::{echo, store};
 use serde_json::json;
 
@@ -16,7 +17,6 @@
 
 /// Longest wait for a condition.
 const TIMEOUT: Duration = Duration::from_secs(15);
-const TRAFFIC_PORT: u16 = 8_172;
 const ROUTE_PORT: u16 = 8_443;
 
 /// Instances, targets and a store on their own block of addresses.
@@ -83,12 +83,12 @@
     fn start_instance(&mut self, instance: usize) {
         let own = ip(self.block, 1 + instance as u8);
         let (seed, store) = (ip(self.block, 1), ip(self.block, 200));
-        let text = format!(
-            "[fabric]\nformat = cookie\n[instance]\ncontrol = {own}:7720\nmetrics = {own}:9464\n\
-             name = instance-{instance}\nstatus = {own}:8167\ntraffic = {own}:{TRAFFIC_PORT}\n\
-             zone = here\n[keys]\ncurrent = 1:5f0e2b7d94c8a1360d5e7f29b3c4a881\n\
-             flow = 9b1d4e6fa2c7035881f3d6b20c9e47a5\n[log]\nformat = json\n[peers]\n\
-             seeds = {seed}:8166\n[platform]\naddress = {store}:8169\nwatch = 2s\n"
+        let text = fleet::settings(
+            &format!("instance-{instance}"),
+            own,
+            "here",
+            &[seed],
+            SocketAddr::from((store, 8_169)),
         );
         let file = self.directory.join(format!("{instance}.ini"));
         std::fs::write(&file, text).expect("settings written");
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -4,3 +4,4 @@
 mod cookie;
 mod failures;
 mod site;
+mod soak;
--- /dev/null
+++ b/daemon/tests/soak.rs
@@ -0,0 +1,38 @@
+//! Short runs of the fault soak with real processes; longer ones are run by hand with
+//! `quetzal-standin soak`.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use quetzal_standin::soak;
+
+use crate::site;
+
+/// Seeds of every run of the tests: one that covers most faults, and each that ever failed, with its
+/// cause. None has failed so far.
+const SEEDS: [u64; 1] = [40];
+/// Length of a run: ten seconds of faults between start and calm.
+const LENGTH: Duration = Duration::from_secs(28);
+
+#[test]
+fn all_promises_hold_under_faults() {
+    let _turn = site::take_turn();
+    for (seed, block) in SEEDS.into_iter().zip(250..) {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let options = soak::Options {
+            block,
+            callers: 12,
+            directory,
+            instances: 5,
+            length: LENGTH,
+            program: PathBuf::from(env!("CARGO_BIN_EXE_quetzald")),
+            seed,
+            targets: 9,
+        };
+        let report = soak::run(&options).expect("the soak runs");
+        assert!(report.breaches.is_empty(), "{report}");
+        assert!(report.faults > 5, "{report}");
+        let checks = report.checks.get(&soak::network::Promise::FlowKept);
+        assert!(checks.is_some_and(|checks| *checks > 500), "{report}");
+    }
+}
--- a/standin/src/echo.rs
+++ b/standin/src/echo.rs
@@ -9,10 +9,16 @@
 /// Longest wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 const HEADER_BYTES: usize = 36;
-const MAX_BYTES: usize = 2_048;
-const SYN: u8 = 128;
-const ACK: u8 = 32;
-const RST: u8 = 4;
+/// Room for the largest packet.
+pub const MAX_BYTES: usize = 2_048;
+/// Flag of a first packet.
+pub const SYN: u8 = 128;
+/// Flag of an acknowledgement.
+pub const ACK: u8 = 32;
+/// Flag of a last packet.
+pub const FIN: u8 = 8;
+/// Flag of a reset.
+pub const RST: u8 = 4;
 
 /// One packet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,7 +40,8 @@
 }
 
 impl Packet {
-    fn write(&self) -> Vec<u8> {
+    /// The packet in bytes.
+    pub fn write(&self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(HEADER_BYTES + self.data.len());
         bytes.extend_from_slice(&(self.data.len() as u16).to_be_bytes());
         bytes.extend_from_slice(&self.seq.to_be_bytes());
@@ -51,7 +58,8 @@
         bytes
     }
 
-    fn read(bytes: &[u8]) -> Option<Self> {
+    /// Reads a packet; none if it is none.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
         let header: &[u8; HEADER_BYTES] = bytes.first_chunk()?;
         let short = |at: usize| u16::from_be_bytes([header[at], header[at + 1]]);
         let long = |at: usize| (u32::from(short(at)) << 16) | u32::from(short(at + 2));
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod echo;
 pub mod fabric;
 pub mod platform;
+pub mod soak;
 pub mod stack;
 pub mod store;
 pub mod target;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,10 +1,11 @@
 //! `quetzal-standin`: runs one stand-in, or the demonstration.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use quetzal_lib::protocol::fault;
 use quetzal_lib::state::code;
-use quetzal_standin::{caller, demo, fabric, platform, target};
+use quetzal_standin::{caller, demo, fabric, platform, soak, target};
 
 const HELP: &str = "\
 Stand-ins for what surrounds quetzalspur, for tests and the demonstration.
@@ -12,6 +13,11 @@
 Usage: quetzal-standin platform ADDRESS
        quetzal-standin fabric|target|caller FILE.json
        quetzal-standin demo [--seed NUMBER] [--seconds NUMBER] [--directory DIR]
+       quetzal-standin soak [--seed NUMBER] [--runs NUMBER] [--seconds NUMBER] [--instances NUMBER]
+                            [--targets NUMBER] [--callers NUMBER] [--block NUMBER]
+                            [--directory DIR]
+
+`soak` takes loopback addresses of its block, and one block more for each run. It runs one seed after the other; it ends with 1 if a promise did not hold.
 ";
 
 fn usage(error: impl std::fmt::Display) -> error_stack::Report<fault::Fault> {
@@ -27,6 +33,43 @@
     serde_json::from_str(&text).map_err(|error| usage(format!("{path}: {error}")))
 }
 
+/// Runs seeds one after the other and prints what each found; returns whether all promises held.
+fn soak_runs(arguments: &mut pico_args::Arguments) -> fault::Result<bool> {
+    let mut number = |name: &'static str, default: u64| -> fault::Result<u64> {
+        let value: Option<u64> = arguments.opt_value_from_str(name).map_err(usage)?;
+        Ok(value.unwrap_or(default))
+    };
+    let first = number("--seed", 1)?;
+    let runs = number("--runs", 1)?;
+    let seconds = number("--seconds", soak::DEFAULT_SECONDS)?;
+    let instances = number("--instances", 5)? as usize;
+    let targets = number("--targets", 9)? as usize;
+    let callers = number("--callers", 12)? as usize;
+    let block = number("--block", 1)? as u8;
+    let directory: Option<String> = arguments.opt_value_from_str("--directory").map_err(usage)?;
+    let directory = directory.map_or_else(
+        || std::env::temp_dir().join(format!("quetzal-soak-{}", std::process::id())),
+        Into::into,
+    );
+    let program = std::env::current_exe().map_err(usage)?;
+    let mut held = true;
+    for (seed, block) in (first..first + runs).zip(block..) {
+        let report = soak::run(&soak::Options {
+            block,
+            callers,
+            directory: directory.join(format!("seed-{seed}")),
+            instances,
+            length: Duration::from_secs(seconds),
+            program: program.with_file_name("quetzald"),
+            seed,
+            targets,
+        })?;
+        held &= report.breaches.is_empty();
+        print!("{report}");
+    }
+    Ok(held)
+}
+
 fn run() -> fault::Result<bool> {
     let mut arguments = pico_args::Arguments::from_env();
     match arguments.subcommand().map_err(usage)?.as_deref() {
@@ -50,6 +93,7 @@
                 seed: seed.unwrap_or(1),
             })
         }
+        Some("soak") => soak_runs(&mut arguments),
         _ => {
             print!("{HELP}");
             Ok(true)
--- /dev/null
+++ b/standin/src/soak/caller.rs
@@ -0,0 +1,210 @@
+//! Callers of a soak: flows of several requests that send again what gets no answer, through whichever
+//! instance the routers choose at that time.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use quetzal_lib::coordination::hash;
+use quetzal_lib::state::random;
+
+use crate::echo;
+use crate::soak::network;
+
+/// Waits before a first packet is sent again, and before the try is given up.
+const OPEN_WAITS: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+/// Waits before data is sent again, and before the request is given up.
+const DATA_WAITS: [Duration; 4] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+    Duration::from_millis(1_600),
+];
+/// Bytes of a request.
+const REQUEST_BYTES: usize = 100;
+/// Most requests of a flow.
+const MAX_REQUESTS: usize = 24;
+/// Longest pause between two requests.
+const MAX_PAUSE: Duration = Duration::from_millis(300);
+
+/// Instances in rotation: their numbers and where packets go.
+pub type Rotation = Arc<ArcSwap<Vec<(usize, SocketAddr)>>>;
+
+/// One caller with one flow at a time, on a thread of its own.
+pub struct Caller {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// The network.
+    pub network: network::Network,
+    /// Port of its flow.
+    pub port: u16,
+    /// Generator for routes, pauses and losses.
+    pub random: random::Source,
+    /// Instances in rotation.
+    pub rotation: Rotation,
+    /// Its socket.
+    pub socket: UdpSocket,
+}
+
+/// An open flow at its caller.
+struct Flow {
+    ack: u32,
+    echo: u32,
+    route: SocketAddrV4,
+    seq: u32,
+}
+
+impl Caller {
+    /// Opens flows until the run is over.
+    pub fn run(mut self) -> std::io::Result<()> {
+        while !self.network.state().is_over {
+            self.port = self.port.wrapping_add(1).max(1_024);
+            if let Some(flow) = self.open()? {
+                self.use_flow(flow)?;
+            }
+            let source = self.source();
+            self.network.state().ended(source);
+            self.pause();
+        }
+        Ok(())
+    }
+
+    fn source(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.port)
+    }
+
+    fn pause(&mut self) {
+        std::thread::sleep(MAX_PAUSE.mul_f64(self.random.unit()));
+    }
+
+    fn open(&mut self) -> std::io::Result<Option<Flow>> {
+        let routes: Vec<SocketAddrV4> = {
+            let state = self.network.state();
+            state.routes.iter().map(|route| route.address).collect()
+        };
+        let mut flow = Flow {
+            ack: 0,
+            echo: 0,
+            route: routes[self.random.below(routes.len())],
+            seq: 1,
+        };
+        for (copies, wait) in OPEN_WAITS.into_iter().enumerate() {
+            flow.ack = copies as u32;
+            let through = self.send(&flow, echo::SYN, Vec::new());
+            if let Some(answer) = self.receive(through, wait, |_| true)? {
+                if answer.flags & echo::RST != 0 {
+                    return Ok(None);
+                }
+                flow.ack = answer.seq.wrapping_add(1);
+                flow.echo = answer.echo;
+                flow.seq = answer.ack;
+                return Ok(Some(flow));
+            }
+        }
+        Ok(None)
+    }
+
+    fn use_flow(&mut self, mut flow: Flow) -> std::io::Result<()> {
+        self.send(&flow, echo::ACK, Vec::new());
+        for _ in 0..1 + self.random.below(MAX_REQUESTS) {
+            if self.network.state().is_over || !self.request(&mut flow)? {
+                break;
+            }
+            self.pause();
+        }
+        self.send(&flow, echo::FIN | echo::ACK, Vec::new());
+        Ok(())
+    }
+
+    /// Sends a request and waits for its answer; returns whether the flow can go on.
+    fn request(&mut self, flow: &mut Flow) -> std::io::Result<bool> {
+        let number = self.network.state().next_request();
+        let mut data = number.to_be_bytes().to_vec();
+        data.resize(REQUEST_BYTES, 0);
+        let awaited = flow.ack;
+        for wait in DATA_WAITS {
+            let through = self.send(flow, echo::ACK, data.clone());
+            let is_new = |packet: &echo::Packet| {
+                packet.flags & echo::RST != 0 || (packet.seq == awaited && !packet.data.is_empty())
+            };
+            let Some(answer) = self.receive(through, wait, is_new)? else {
+                continue;
+            };
+            if answer.flags & echo::RST != 0 {
+                return Ok(false);
+            }
+            flow.ack = answer.seq.wrapping_add(answer.data.len() as u32);
+            flow.echo = answer.echo;
+            flow.seq = answer.ack;
+            if let Some(id) = answer.data.first_chunk() {
+                let source = self.source();
+                let id = u64::from_be_bytes(*id);
+                self.network.state().answered(source, id);
+            }
+            self.send(flow, echo::ACK, Vec::new());
+            return Ok(true);
+        }
+        Ok(false)
+    }
+
+    /// Sends a packet through the instance that the routers choose now; returns its number.
+    fn send(&mut self, flow: &Flow, flags: u8, data: Vec<u8>) -> usize {
+        let packet = echo::Packet {
+            ack: flow.ack,
+            data,
+            destination: flow.route,
+            echo: flow.echo,
+            flags,
+            seq: flow.seq,
+            source: self.source(),
+        };
+        let rotation = self.rotation.load();
+        let spread = hash::score(u64::from(u32::from(self.ip)), u64::from(self.port));
+        let Some((instance, address)) = rotation.get(spread as usize % rotation.len().max(1))
+        else {
+            return 0;
+        };
+        if self.random.unit() >= self.network.state().loss {
+            // A packet that is not taken is as good as lost.
+            let _ = self.socket.send_to(&packet.write(), address);
+        }
+        *instance
+    }
+
+    /// Waits for a packet of the flow that is wanted or a reset, which is checked.
+    fn receive(
+        &self,
+        through: usize,
+        wait: Duration,
+        is_wanted: impl Fn(&echo::Packet) -> bool,
+    ) -> std::io::Result<Option<echo::Packet>> {
+        let end = Instant::now() + wait;
+        let mut buffer = [0; echo::MAX_BYTES];
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(None);
+            }
+            self.socket.set_read_timeout(Some(left))?;
+            let Ok((length, SocketAddr::V4(from))) = self.socket.recv_from(&mut buffer) else {
+                continue;
+            };
+            let Some(packet) = echo::Packet::read(&buffer[..length]) else {
+                continue;
+            };
+            // Answers to former flows come late.
+            if packet.destination != self.source() || !is_wanted(&packet) {
+                continue;
+            }
+            if packet.flags & echo::RST != 0 {
+                self.network.state().reset(self.source(), from, through);
+            }
+            return Ok(Some(packet));
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/soak/target.rs
@@ -0,0 +1,151 @@
+//! Targets of a soak: flows, requests that run once, and the network's faults on the way to them.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::time::Duration;
+
+use quetzal_lib::state::random;
+
+use crate::echo;
+use crate::soak::network;
+
+/// Longest wait for a packet.
+const WAIT: Duration = Duration::from_millis(50);
+/// Bytes of a number in a request or an answer.
+const NUMBER: usize = 8;
+
+/// A flow at its target.
+struct Flow {
+    answer: Option<echo::Packet>,
+    expected: u32,
+    own: u32,
+    is_open: bool,
+}
+
+/// One target, on a thread of its own.
+pub struct Target {
+    /// Port of callers to which answers go.
+    pub caller_port: u16,
+    /// Number of the target.
+    pub index: usize,
+    /// Addresses of instances, in their order.
+    pub instances: Vec<Ipv4Addr>,
+    /// The network.
+    pub network: network::Network,
+    /// Generator for sequence numbers and losses.
+    pub random: random::Source,
+    /// Its socket.
+    pub socket: UdpSocket,
+    /// Zones of instances, in their order.
+    pub zones: Vec<usize>,
+}
+
+impl Target {
+    /// Serves until the run is over.
+    pub fn run(mut self) -> std::io::Result<()> {
+        self.socket.set_read_timeout(Some(WAIT))?;
+        let mut flows: HashMap<SocketAddrV4, Flow> = HashMap::new();
+        let mut life = 0;
+        let mut buffer = [0; echo::MAX_BYTES];
+        while !self.network.state().is_over {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer) else {
+                continue;
+            };
+            let now_life = self.network.state().targets[self.index].life;
+            if life != now_life {
+                life = now_life;
+                flows.clear();
+            }
+            let Some((named, bytes)) = buffer[..length].split_first_chunk() else {
+                continue;
+            };
+            let Some(packet) = echo::Packet::read(bytes) else {
+                continue;
+            };
+            if let Some(instance) = self.takes(u64::from_be_bytes(*named), from)
+                && let Some(answer) = self.handle(&mut flows, &packet, instance)
+            {
+                let to = SocketAddrV4::new(*packet.source.ip(), self.caller_port);
+                // A caller that has gone takes no answer.
+                let _ = self.socket.send_to(&answer.write(), to);
+            }
+        }
+        Ok(())
+    }
+
+    /// The instance that sent a packet, if the packet gets through and is meant for this target.
+    fn takes(&mut self, named: u64, from: SocketAddr) -> Option<usize> {
+        let instance = self
+            .instances
+            .iter()
+            .position(|address| SocketAddr::from((*address, from.port())) == from)?;
+        let state = self.network.state();
+        let target = &state.targets[self.index];
+        let zone = self.zones[instance];
+        let crosses = zone != target.zone && [Some(zone), Some(target.zone)].contains(&state.cut);
+        let lost = self.random.unit() < state.loss;
+        (target.up && named == target.id && !crosses && !lost).then_some(instance)
+    }
+
+    fn handle(
+        &mut self,
+        flows: &mut HashMap<SocketAddrV4, Flow>,
+        packet: &echo::Packet,
+        instance: usize,
+    ) -> Option<echo::Packet> {
+        let reply = |flags, seq, ack, data| echo::Packet {
+            ack,
+            data,
+            destination: packet.source,
+            echo: packet.echo,
+            flags,
+            seq,
+            source: packet.destination,
+        };
+        if packet.flags & echo::SYN != 0 {
+            let mut state = self.network.state();
+            state.first_packet(self.index, packet.destination, instance);
+            let flow = flows.entry(packet.source).or_insert_with(|| Flow {
+                answer: None,
+                expected: packet.seq.wrapping_add(1),
+                is_open: false,
+                own: (self.random.unit() * f64::from(u32::MAX)) as u32,
+            });
+            let flags = echo::SYN | echo::ACK;
+            return Some(reply(flags, flow.own, flow.expected, Vec::new()));
+        }
+        let Some(flow) = flows.get_mut(&packet.source) else {
+            let is_reset = packet.flags & echo::RST != 0;
+            return (!is_reset).then(|| reply(echo::RST, packet.ack, 0, Vec::new()));
+        };
+        if packet.flags & (echo::FIN | echo::RST) != 0 {
+            flows.remove(&packet.source);
+            return None;
+        }
+        if !flow.is_open {
+            if packet.ack != flow.own.wrapping_add(1) {
+                return None;
+            }
+            flow.is_open = true;
+            flow.own = packet.ack;
+            self.network.state().opened(packet.source, self.index);
+        }
+        let number = packet.data.first_chunk::<NUMBER>()?;
+        if packet.seq != flow.expected {
+            // The request came again: its answer was lost.
+            return flow.answer.clone();
+        }
+        flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
+        let id = {
+            let mut state = self.network.state();
+            state.run(u64::from_be_bytes(*number), self.index);
+            state.targets[self.index].id
+        };
+        let mut data = id.to_be_bytes().to_vec();
+        data.extend_from_slice(number);
+        let answer = reply(echo::ACK, flow.own, flow.expected, data);
+        flow.own = flow.own.wrapping_add(answer.data.len() as u32);
+        flow.answer = Some(answer.clone());
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/standin/tests/promises.rs
@@ -0,0 +1,104 @@
+//! The checks of the soak: what they take for a breach, and what they excuse.
+
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use quetzal_standin::soak::network::{self, Promise};
+
+const TARGET: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 100), 8_080);
+const INSTANCE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), 8_172);
+const CALLER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 150), 4_000);
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// An instant in which all former faults are over.
+fn long_ago() -> Instant {
+    Instant::now() - Duration::from_secs(60)
+}
+
+/// One undisturbed instance before one target that holds a flow.
+fn network() -> network::Network {
+    let target = network::Target {
+        address: TARGET,
+        disturbed_until: long_ago(),
+        draining_since: None,
+        id: 7,
+        life: 1,
+        service: "board",
+        up: true,
+        zone: 0,
+    };
+    let route = network::Route {
+        address: ROUTE,
+        known: HashSet::from(["board"]),
+        moved_at: long_ago(),
+        service: "board",
+    };
+    let network = network::Network::new(vec![target], vec![route], 1);
+    let mut state = network.state();
+    state.instances_disturbed_until[0] = long_ago();
+    state.store_disturbed_until = long_ago();
+    state.opened(CALLER, 0);
+    drop(state);
+    network
+}
+
+fn breaches(network: &network::Network) -> Vec<Promise> {
+    let (_, breaches) = network.state().findings();
+    breaches.into_iter().map(|breach| breach.promise).collect()
+}
+
+#[test]
+fn a_reset_of_a_living_targets_flow_is_a_breach() {
+    let network = network();
+    network.state().reset(CALLER, INSTANCE, 0);
+    assert_eq!(breaches(&network), [Promise::FlowKept]);
+}
+
+#[test]
+fn resets_by_the_target_itself_or_after_faults_are_excused() {
+    let by_target = network();
+    by_target.state().reset(CALLER, TARGET, 0);
+    let restarted = network();
+    restarted.state().targets[0].life += 1;
+    restarted.state().reset(CALLER, INSTANCE, 0);
+    let out_of_touch = network();
+    out_of_touch.state().disturb_instance(0, Duration::ZERO);
+    out_of_touch.state().reset(CALLER, INSTANCE, 0);
+    let silent = network();
+    silent.state().disturb_target(0, Duration::ZERO);
+    silent.state().reset(CALLER, INSTANCE, 0);
+    for network in [by_target, restarted, out_of_touch, silent] {
+        assert_eq!(breaches(&network), []);
+    }
+}
+
+#[test]
+fn an_answer_of_another_target_and_a_second_run_are_breaches() {
+    let network = network();
+    network.state().answered(CALLER, 8);
+    network.state().run(1, 0);
+    network.state().run(1, 0);
+    assert_eq!(breaches(&network), [Promise::FlowKept, Promise::OnceOnly]);
+}
+
+#[test]
+fn new_flows_to_the_wrong_place_are_breaches() {
+    let network = network();
+    network.state().first_packet(0, ROUTE, 0);
+    assert_eq!(breaches(&network), []);
+    network.state().targets[0].draining_since = Some(long_ago());
+    network.state().first_packet(0, ROUTE, 0);
+    network.state().targets[0].draining_since = None;
+    network.state().routes[0].service = "archive";
+    network.state().first_packet(0, ROUTE, 0);
+    network.state().targets[0].service = "vault";
+    network.state().first_packet(0, ROUTE, 0);
+    let expected = [
+        Promise::DrainKept,
+        Promise::ConfigInForce,
+        Promise::RightService,
+        Promise::ConfigInForce,
+    ];
+    assert_eq!(breaches(&network), expected);
+}
--- a/standin/tests/runner.rs
+++ b/standin/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Runner of the stand-ins' tests.
 
+mod promises;
 mod repeats;
