coordination: no circles among modules

Cause: control and share imported each other, as did steering, hold and replica. Change: verdict has packets and verdicts; release and copies have what shards do with held packets and replicas; share is a function of what it depends on; advance has the stages of buckets. A test refuses circles within state, coordination and protocol.

--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -5,7 +5,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use etherparse::PacketBuilder;
-use quetzal_lib::coordination::{hash, steering};
+use quetzal_lib::coordination::{hash, steering, verdict};
 use quetzal_lib::protocol::ip;
 use quetzal_lib::state::packet;
 use quetzal_testutils::{caller, fleet, sheet};
@@ -32,10 +32,10 @@
 fn steer(criterion: &mut Criterion, name: &str, share: u16) {
     let mut fleet = one_instance(share);
     let now = fleet.now;
-    let packets: Vec<steering::Packet> = fleet
+    let packets: Vec<verdict::Packet> = fleet
         .flows
         .iter()
-        .map(|flow| steering::Packet {
+        .map(|flow| verdict::Packet {
             flow: flow.key,
             header: packet::Header {
                 kind: packet::Kind::Middle,
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,12 +1,14 @@
 //! Decisions without I/O, clocks or threads: time and messages come in as values, and what is to
 //! be sent goes out as values. Imports only `state`.
 
+mod advance;
 pub mod beat;
 pub mod bucket;
 pub mod burn;
 pub mod change;
 pub mod control;
 pub mod cookie;
+mod copies;
 pub mod hash;
 pub mod health;
 pub mod history;
@@ -19,8 +21,10 @@
 pub mod placement;
 pub mod publish;
 pub mod rank;
+mod release;
 pub mod replica;
 pub mod share;
 pub mod sheet;
 pub mod steering;
 pub mod table;
+pub mod verdict;
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -1,55 +1,40 @@
-//! Replicas of flow entries: which entries need them, how they travel, and how they end.
+//! Replicas of flow entries: which entries need them, and what is under way.
 //!
 //! The owner sends each entry that the fallback does not explain to the deputy, and to the
-//! instances that a change of membership will make owner or deputy. Whoever else holds an entry
-//! sees to it that the present owner has it. A missing replica is found by the sweep, whatever made
-//! it go missing, so a death, a join, a healed partition and a lost frame need no code of their
-//! own.
+//! instances that a change of membership will make owner or deputy; `copies` does so.
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::coordination::{message, steering};
-use crate::state::{count, flow, key, time, view};
-
-/// First wait for an acknowledgement.
-const RETRY_FIRST: time::Duration = time::Duration::from_millis(40);
-/// Longest wait for an acknowledgement.
-const RETRY_MAX: time::Duration = time::Duration::from_millis(640);
-/// Requests awaiting acknowledgement above which the sweep adds no more, so that a transfer is
-/// paced.
-const MAX_SWEEP_PENDING: usize = 256;
-/// Places in one frame, which keeps a frame below an ordinary packet's size.
-pub const MAX_PLACES: usize = 32;
-/// Idle times after which a replica that was not refreshed is dropped.
-const COPY_LIFETIMES: u32 = 4;
+use crate::coordination::message;
+use crate::state::{flow, key, time, view};
 
 /// Replicas requested but not acknowledged, and messages to send.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    cursor: usize,
-    ends: BTreeMap<key::Instance, Vec<flow::Key>>,
-    kept: BTreeMap<key::Instance, Vec<u64>>,
-    pending: BTreeMap<key::Entry, Pending>,
-    places: BTreeMap<key::Instance, Vec<message::Place>>,
+    pub(crate) cursor: usize,
+    pub(crate) ends: BTreeMap<key::Instance, Vec<flow::Key>>,
+    pub(crate) kept: BTreeMap<key::Instance, Vec<u64>>,
+    pub(crate) pending: BTreeMap<key::Entry, Pending>,
+    pub(crate) places: BTreeMap<key::Instance, Vec<message::Place>>,
     /// Whether the running pass found every needed replica in place.
-    pass_clean: bool,
+    pub(crate) pass_clean: bool,
     /// Whether the running pass found every foreign entry known to its owner.
-    pass_owners_clean: bool,
+    pub(crate) pass_owners_clean: bool,
     /// Last topology seen, and when.
-    topology: (u64, flow::Tick),
+    pub(crate) topology: (u64, flow::Tick),
     /// Topology at the start of the running pass.
-    pass_topology: u64,
+    pub(crate) pass_topology: u64,
     /// Generation at the start of the running pass.
-    pass_generation: u64,
+    pub(crate) pass_generation: u64,
     /// Deviating entries found by the running pass.
-    pass_deviating: HashMap<(key::Service, key::Bucket), u32>,
-    sweep_keys: Vec<key::Entry>,
+    pub(crate) pass_deviating: HashMap<(key::Service, key::Bucket), u32>,
+    pub(crate) sweep_keys: Vec<key::Entry>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Pending {
-    retry_at: time::Instant,
-    wait: time::Duration,
+pub(crate) struct Pending {
+    pub(crate) retry_at: time::Instant,
+    pub(crate) wait: time::Duration,
 }
 
 impl Outbox {
@@ -59,14 +44,6 @@
     }
 }
 
-/// What another instance says of a flow's placement.
-#[derive(Clone, Copy, Debug)]
-struct Placement {
-    confirmed: bool,
-    placed: flow::Tick,
-    target: key::Target,
-}
-
 /// What one complete pass over the entries found.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Census {
@@ -97,420 +74,3 @@
 pub fn has_copies(bucket: &view::Bucket, entry: &flow::Entry) -> bool {
     bucket.copies & !entry.copies == 0
 }
-
-fn instances(mask: u32) -> impl Iterator<Item = key::Instance> {
-    (0..view::MAX_INSTANCES as u16)
-        .map(key::Instance)
-        .filter(move |key| mask & view::mask(*key) != 0)
-}
-
-fn place_of(view: &view::View, now: time::Instant, entry: &flow::Entry) -> Option<message::Place> {
-    Some(message::Place {
-        age: flow::Tick::at(now).0.saturating_sub(entry.placed.0),
-        confirmed: entry.confirmed,
-        flow: entry.flow,
-        phase: entry.phase,
-        target: view.target(entry.target)?.name,
-    })
-}
-
-impl steering::Shard {
-    /// Asks for the replicas that an entry lacks.
-    pub(crate) fn request_copies(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        key: key::Entry,
-        bucket: &view::Bucket,
-    ) {
-        let Some(entry) = self.table.get(key) else {
-            return;
-        };
-        let missing = bucket.copies & !entry.copies;
-        let Some(place) = place_of(view, now, entry).filter(|_| missing != 0) else {
-            self.replicas.pending.remove(&key);
-            return;
-        };
-        for instance in instances(missing) {
-            self.replicas
-                .places
-                .entry(instance)
-                .or_default()
-                .push(place);
-        }
-        let pending = self.replicas.pending.entry(key).or_insert(Pending {
-            retry_at: now,
-            wait: RETRY_FIRST,
-        });
-        pending.retry_at = now + pending.wait;
-        pending.wait = (pending.wait * 2).min(RETRY_MAX);
-    }
-
-    /// Takes a message of another instance's traffic thread.
-    pub fn receive(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        from: key::Instance,
-        message: message::Traffic,
-    ) {
-        match message {
-            message::Traffic::Place(places) => {
-                for place in places {
-                    self.keep(view, now, from, place);
-                }
-            }
-            message::Traffic::Kept(lows) => self.note_kept(view, now, from, &lows),
-            message::Traffic::End(flows) => {
-                for flow in flows {
-                    if let Some(key) = self.table.find(flow)
-                        && self
-                            .table
-                            .get(key)
-                            .is_some_and(|entry| entry.role == flow::Role::Copy)
-                    {
-                        self.remove(key);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Keeps a replica. When two placements of a flow meet, the older one wins on both sides.
-    fn keep(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        from: key::Instance,
-        place: message::Place,
-    ) {
-        let Some(target) = view.names.get(&place.target).copied() else {
-            // The sender knows a newer sheet; it repeats the request until it is acknowledged.
-            return;
-        };
-        let tick = flow::Tick::at(now);
-        let placed = flow::Tick(tick.0.saturating_sub(place.age));
-        if let Some(key) = self.table.find(place.flow) {
-            let theirs = Placement {
-                confirmed: place.confirmed,
-                placed,
-                target,
-            };
-            self.merge(view, now, from, key, theirs);
-        } else {
-            if self.table.len() >= self.limits.entries {
-                return;
-            }
-            self.table.insert(flow::Entry {
-                confirmed: true,
-                copies: view::mask(from),
-                flow: place.flow,
-                phase: place.phase,
-                placed,
-                proven: false,
-                refreshed: tick,
-                role: flow::Role::Copy,
-                seen: tick,
-                target,
-            });
-        }
-        self.replicas
-            .kept
-            .entry(from)
-            .or_default()
-            .push(place.flow.low);
-    }
-
-    fn merge(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        from: key::Instance,
-        key: key::Entry,
-        theirs: Placement,
-    ) {
-        let Placement {
-            confirmed,
-            placed,
-            target,
-        } = theirs;
-        let Some(entry) = self.table.get_mut(key) else {
-            return;
-        };
-        if entry.target == target {
-            entry.copies |= view::mask(from);
-            if entry.role == flow::Role::Copy {
-                entry.seen = flow::Tick::at(now);
-            }
-            return;
-        }
-        // An owner may have withdrawn a placement of which this replica is a trace.
-        let is_trace = entry.role == flow::Role::Copy
-            && !entry.proven
-            && bucket_of(view, entry).is_some_and(|bucket| bucket.owner == from);
-        let name = |target| view.target(target).map(|target: &view::Target| target.name);
-        // A placement by which nothing was forwarded yields to one by which packets may have been,
-        // however old it is: its instance may have been paused before it could withdraw it.
-        let older = (placed, name(target)) < (entry.placed, name(entry.target));
-        let theirs_win = match (confirmed, entry.confirmed) {
-            (true, false) => true,
-            (false, true) => is_trace,
-            _ => is_trace || older,
-        };
-        if !theirs_win {
-            // The sender takes this placement by the same rule.
-            if let Some(place) = place_of(view, now, entry) {
-                self.replicas.places.entry(from).or_default().push(place);
-            }
-            return;
-        }
-        let former = entry.target;
-        entry.target = target;
-        entry.placed = placed;
-        entry.copies = view::mask(from);
-        let is_counted = entry.is_counted();
-        if is_counted {
-            self.load.remove_owned(former);
-            self.load.add_owned(target);
-        }
-        self.counters.increment(count::Counter::EntryMerged);
-    }
-
-    fn note_kept(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        from: key::Instance,
-        lows: &[u64],
-    ) {
-        let mut ready = Vec::new();
-        for low in lows {
-            let Some(key) = self.table.find_low(*low) else {
-                continue;
-            };
-            let Some(entry) = self.table.get_mut(key) else {
-                continue;
-            };
-            entry.copies |= view::mask(from);
-            if bucket_of(view, entry).is_none_or(|bucket| has_copies(bucket, entry)) {
-                self.replicas.pending.remove(&key);
-                ready.push(key);
-            }
-        }
-        self.retry_held(view, now, &ready);
-    }
-
-    /// Forgets what a restarted or lost instance had acknowledged.
-    pub fn forget_copies(&mut self, instance: key::Instance) {
-        let keys: Vec<key::Entry> = self.table.iter().map(|(key, _)| key).collect();
-        for key in keys {
-            if let Some(entry) = self.table.get_mut(key) {
-                entry.copies &= !view::mask(instance);
-            }
-        }
-    }
-
-    /// Periodic work: repeats requests, decides on held packets, and sweeps `slots` entries.
-    /// Returns what a pass found when it is complete.
-    pub fn tick(&mut self, view: &view::View, now: time::Instant, slots: usize) -> Option<Census> {
-        if self.replicas.topology.0 != view.topology {
-            self.replicas.topology = (view.topology, flow::Tick::at(now));
-        }
-        // Held packets first: one that was held for too long withdraws its entry.
-        self.retry_held(view, now, &[]);
-        self.repeat_requests(view, now);
-        let mut keys = std::mem::take(&mut self.replicas.sweep_keys);
-        let complete = self
-            .table
-            .sweep(&mut self.replicas.cursor, slots, &mut keys);
-        for key in &keys {
-            self.sweep_one(view, now, *key);
-        }
-        self.replicas.sweep_keys = keys;
-        if complete {
-            let idle = view
-                .services
-                .iter()
-                .map(|service| service.idle_timeout)
-                .max();
-            self.forget_lost(now, idle.unwrap_or_default());
-        }
-        complete.then(|| self.finish_pass(view))
-    }
-
-    fn finish_pass(&mut self, view: &view::View) -> Census {
-        let outbox = &mut self.replicas;
-        let census = Census {
-            deviating: std::mem::take(&mut outbox.pass_deviating),
-            generation: outbox.pass_generation,
-            owners_topology: outbox.pass_owners_clean.then_some(outbox.pass_topology),
-            synced_topology: outbox.pass_clean.then_some(outbox.pass_topology),
-        };
-        outbox.pass_clean = true;
-        outbox.pass_owners_clean = true;
-        outbox.pass_topology = view.topology;
-        outbox.pass_generation = view.generation;
-        census
-    }
-
-    fn repeat_requests(&mut self, view: &view::View, now: time::Instant) {
-        let due: Vec<key::Entry> = self
-            .replicas
-            .pending
-            .iter()
-            .filter(|(_, pending)| pending.retry_at <= now)
-            .map(|(key, _)| *key)
-            .collect();
-        let mut ready = Vec::new();
-        for key in due {
-            let bucket = self
-                .table
-                .get(key)
-                .and_then(|entry| bucket_of(view, entry))
-                .copied();
-            match bucket {
-                Some(bucket) => {
-                    self.request_copies(view, now, key, &bucket);
-                    if !self.replicas.pending.contains_key(&key) {
-                        ready.push(key);
-                    }
-                }
-                None => {
-                    self.replicas.pending.remove(&key);
-                    ready.push(key);
-                }
-            }
-        }
-        if !ready.is_empty() {
-            self.retry_held(view, now, &ready);
-        }
-    }
-
-    fn sweep_one(&mut self, view: &view::View, now: time::Instant, key: key::Entry) {
-        let Some(entry) = self.table.get(key).copied() else {
-            return;
-        };
-        let Some(service_key) = view.target(entry.target).map(|target| target.service) else {
-            return;
-        };
-        let Some(service) = view.services.get(service_key.index()) else {
-            return;
-        };
-        let number = service.bucket(entry.flow);
-        let Some(bucket) = service.buckets.get(number.index()).copied() else {
-            return;
-        };
-        let owned = bucket.owner == view.self_key;
-        if owned {
-            self.adopt(key);
-        } else {
-            self.release_ownership(key);
-        }
-        if self.expire(view, now, key, owned, service.idle_timeout)
-            || !needs_copies(&bucket, entry.target)
-        {
-            return;
-        }
-        if owned {
-            if entry.target != bucket.fallback {
-                *self
-                    .replicas
-                    .pass_deviating
-                    .entry((service_key, number))
-                    .or_default() += 1;
-            }
-            self.refresh_copies(now, key, service.idle_timeout);
-        }
-        let missing = self
-            .table
-            .get(key)
-            .is_some_and(|entry| !has_copies(&bucket, entry));
-        if missing {
-            // A newer entry was given to everyone who needs it before its first packet left.
-            if entry.confirmed && entry.placed <= self.replicas.topology.1 {
-                self.replicas.pass_clean = false;
-                self.replicas.pass_owners_clean &= owned;
-            }
-            let room = self.replicas.pending.len() < MAX_SWEEP_PENDING;
-            if room && !self.replicas.pending.contains_key(&key) {
-                self.request_copies(view, now, key, &bucket);
-            }
-        }
-    }
-
-    fn release_ownership(&mut self, key: key::Entry) {
-        if let Some(entry) = self.table.get_mut(key)
-            && entry.role == flow::Role::Owned
-        {
-            if entry.is_counted() {
-                self.load.remove_owned(entry.target);
-            }
-            entry.role = flow::Role::Copy;
-        }
-    }
-
-    /// Lets replicas live on while the flow does.
-    fn refresh_copies(&mut self, now: time::Instant, key: key::Entry, idle: time::Duration) {
-        let tick = flow::Tick::at(now);
-        if let Some(entry) = self.table.get_mut(key)
-            && tick.since(entry.refreshed) > idle * (COPY_LIFETIMES / 2)
-        {
-            entry.refreshed = tick;
-            entry.copies = 0;
-        }
-    }
-
-    /// Removes an entry whose flow is over; returns whether it did.
-    fn expire(
-        &mut self,
-        view: &view::View,
-        now: time::Instant,
-        key: key::Entry,
-        owned: bool,
-        idle: time::Duration,
-    ) -> bool {
-        let Some(entry) = self.table.get(key) else {
-            return true;
-        };
-        let quiet = flow::Tick::at(now).since(entry.seen);
-        let lifetime = if owned {
-            Self::timeout(entry, idle)
-        } else {
-            idle * COPY_LIFETIMES
-        };
-        if quiet <= lifetime {
-            return false;
-        }
-        let copies = entry.copies;
-        let flow = entry.flow;
-        self.remove(key);
-        if owned {
-            self.counters.increment(count::Counter::EntryEnded);
-            for instance in instances(copies).filter(|instance| *instance != view.self_key) {
-                self.replicas.ends.entry(instance).or_default().push(flow);
-            }
-        }
-        true
-    }
-
-    /// Messages to send, each small enough for one datagram.
-    pub fn outgoing(&mut self, mut send: impl FnMut(key::Instance, message::Traffic)) {
-        let outbox = &mut self.replicas;
-        drain(&mut outbox.places, &mut send, message::Traffic::Place);
-        drain(&mut outbox.kept, &mut send, message::Traffic::Kept);
-        drain(&mut outbox.ends, &mut send, message::Traffic::End);
-    }
-}
-
-fn drain<T: Clone>(
-    queues: &mut BTreeMap<key::Instance, Vec<T>>,
-    send: &mut impl FnMut(key::Instance, message::Traffic),
-    wrap: impl Fn(Vec<T>) -> message::Traffic,
-) {
-    for (instance, queue) in queues.iter_mut() {
-        for chunk in queue.chunks(MAX_PLACES) {
-            send(*instance, wrap(chunk.to_vec()));
-        }
-        queue.clear();
-    }
-}
--- a/lib/src/coordination/share.rs
+++ b/lib/src/coordination/share.rs
@@ -1,6 +1,5 @@
 //! The flexible share of each service: the one dial between evenness and the cost of control.
 
-use crate::coordination::control;
 use crate::state::time;
 
 /// Time between adjustments of the flexible share.
@@ -12,28 +11,30 @@
 /// Smallest share that is kept for the budget's sake, in per mille.
 const MIN_SHARE: u16 = 5;
 
-impl control::Control {
-    /// Lets each service's flexible share follow what its replicas cost.
-    pub(crate) fn adjust_shares(&mut self, now: time::Instant) {
-        if now < self.share_due {
-            return;
-        }
-        self.share_due = now + INTERVAL;
-        let bytes = self.replica_bytes / INTERVAL.as_secs();
-        self.replica_bytes = 0;
-        let seconds = INTERVAL.as_secs_f64();
-        for (_, service) in self.ledger.services.iter_mut() {
-            let starts: u32 = service
-                .targets
-                .iter()
-                .filter_map(|target| self.starts.remove(target))
-                .sum();
-            let rate = f64::from(starts) / seconds / service.targets.len().max(1) as f64;
-            let useful = (self.config.herding_rate / rate).min(1.0) * f64::from(FULL_SHARE);
-            let allowed = service.item.flexible_share.min(useful as u16);
-            service.share = next_share(service.share, allowed, bytes, self.config.budget);
-        }
-    }
+/// What a service's share depends on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Bytes a second that replicas may take.
+    pub budget: u64,
+    /// New flows a second for each target above which the share shrinks.
+    pub herding_rate: f64,
+    /// Share that the sheet allows, in per mille.
+    pub most: u16,
+    /// Bytes a second that replicas take.
+    pub rate: u64,
+    /// New flows since the last adjustment.
+    pub starts: u32,
+    /// Targets.
+    pub targets: usize,
+}
+
+/// The share in force after an interval in which a service had another need than before.
+pub fn adjust(share: u16, need: Need) -> u16 {
+    let seconds = INTERVAL.as_secs_f64();
+    let starts = f64::from(need.starts) / seconds / need.targets.max(1) as f64;
+    let useful = (need.herding_rate / starts).min(1.0) * f64::from(FULL_SHARE);
+    let allowed = need.most.min(useful as u16);
+    next_share(share, allowed, need.rate, need.budget)
 }
 
 /// The next flexible share: cut to what the budget allows when replicas cost more, and slowly back
--- a/lib/src/coordination/steering.rs
+++ b/lib/src/coordination/steering.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use crate::coordination::{hold, load, placement, replica};
+use crate::coordination::{hold, load, placement, replica, verdict};
 use crate::state::{arena, count, flow, key, packet, random, time, view};
 
 /// Relays that a packet may take before it is dropped.
@@ -48,32 +48,6 @@
     }
 }
 
-/// One packet to steer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Packet {
-    /// The flow.
-    pub flow: flow::Key,
-    /// The parsed headers.
-    pub header: packet::Header,
-    /// Relays that the packet may still take.
-    pub hops: u8,
-}
-
-/// What becomes of a packet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// Dropped, and counted under the reason.
-    Drop(count::Counter),
-    /// Sent to a target.
-    Forward(key::Target),
-    /// Kept until `Shard::released` names it.
-    Hold(key::Held),
-    /// Answered with a refusal.
-    Refuse,
-    /// Sent on to an instance, with the relays that remain.
-    Relay(key::Instance, u8),
-}
-
 /// Steering state of one shard.
 #[derive(Debug)]
 pub struct Shard {
@@ -89,7 +63,7 @@
     outcomes: Vec<load::Outcomes>,
     random: random::Source,
     recent: Vec<u64>,
-    pub(crate) released: Vec<(key::Held, Verdict)>,
+    pub(crate) released: Vec<(key::Held, verdict::Verdict)>,
     victim_cursor: usize,
 }
 
@@ -143,7 +117,12 @@
     }
 
     /// Decides what becomes of a packet.
-    pub fn steer(&mut self, view: &view::View, now: time::Instant, packet: Packet) -> Verdict {
+    pub fn steer(
+        &mut self,
+        view: &view::View,
+        now: time::Instant,
+        packet: verdict::Packet,
+    ) -> verdict::Verdict {
         self.decide(view, now, packet, true)
     }
 
@@ -152,18 +131,18 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         is_fresh: bool,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         let Some(service_key) = view.service(&packet.header.tuple) else {
-            return Verdict::Drop(match view.revision {
+            return verdict::Verdict::Drop(match view.revision {
                 0 => count::Counter::DropNotReady,
                 _ => count::Counter::DropUnknownAddress,
             });
         };
         let service = &view.services[service_key.index()];
         let Some(bucket) = service.buckets.get(service.bucket(packet.flow).index()) else {
-            return Verdict::Drop(count::Counter::DropNoTarget);
+            return verdict::Verdict::Drop(count::Counter::DropNoTarget);
         };
         match bucket.mode {
             view::Mode::Direct if self.may_go_direct(view, bucket, now) => {
@@ -190,7 +169,7 @@
     }
 
     /// Counts a packet of a direct bucket; returns whether it begins a flow.
-    fn count_direct(&mut self, packet: Packet, home: key::Target, is_fresh: bool) -> bool {
+    fn count_direct(&mut self, packet: verdict::Packet, home: key::Target, is_fresh: bool) -> bool {
         match packet.header.kind {
             packet::Kind::First => {
                 let recent = &mut self.recent[packet.flow.low as usize & (RECENT_SLOTS - 1)];
@@ -217,12 +196,12 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         owner: key::Instance,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         let owner_alive = now < view.lease.peer(owner);
         if owner_alive && packet.hops > 0 {
-            return Verdict::Relay(owner, packet.hops - 1);
+            return verdict::Verdict::Relay(owner, packet.hops - 1);
         }
         if let Some(key) = self.table.find(packet.flow) {
             self.touch(key, now, packet.header.kind);
@@ -230,12 +209,13 @@
                 entry.proven = true;
                 entry.target
             });
-            return target.map_or(Verdict::Drop(count::Counter::DropHopLimit), |target| {
-                forward(view, now, target)
-            });
+            return target.map_or(
+                verdict::Verdict::Drop(count::Counter::DropHopLimit),
+                |target| forward(view, now, target),
+            );
         }
         if owner_alive {
-            return Verdict::Drop(count::Counter::DropHopLimit);
+            return verdict::Verdict::Drop(count::Counter::DropHopLimit);
         }
         self.hold(now, packet, hold::Wait::View)
     }
@@ -245,10 +225,10 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         service: key::Service,
         bucket: &view::Bucket,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         if let Some(key) = self.table.find(packet.flow)
             && !self.withdraw_if_void(key, packet.header.kind)
         {
@@ -287,18 +267,18 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         service_key: key::Service,
         bucket: &view::Bucket,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         self.lost.remove(&packet.flow);
         let service = &view.services[service_key.index()];
         let Some(target) = self.choose(view, now, service, bucket) else {
             return if now >= bucket.known_at {
                 self.outcomes_of(service_key).refused += 1;
-                Verdict::Refuse
+                verdict::Verdict::Refuse
             } else {
-                Verdict::Drop(count::Counter::DropNoTarget)
+                verdict::Verdict::Drop(count::Counter::DropNoTarget)
             };
         };
         let deviates = replica::needs_copies(bucket, target);
@@ -317,7 +297,7 @@
             }
             // Without an entry only the fallback is sure to get the flow's later packets.
             None if !deviates => forward(view, now, target),
-            None => Verdict::Drop(count::Counter::DropNoTarget),
+            None => verdict::Verdict::Drop(count::Counter::DropNoTarget),
         }
     }
 
@@ -363,10 +343,10 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         service: key::Service,
         bucket: &view::Bucket,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         if !bucket.complete {
             if self.note_lost(now, packet.flow) {
                 self.outcomes_of(service).lost += 1;
@@ -375,7 +355,7 @@
         }
         if self.lost.contains_key(&packet.flow) {
             self.note_lost(now, packet.flow);
-            return Verdict::Drop(count::Counter::DropLost);
+            return verdict::Verdict::Drop(count::Counter::DropLost);
         }
         let phase = phase_after(flow::Phase::Open, packet.header.kind);
         if packet.header.kind != packet::Kind::Reset
@@ -408,12 +388,12 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         key: key::Entry,
         bucket: &view::Bucket,
-    ) -> Verdict {
+    ) -> verdict::Verdict {
         let Some(entry) = self.table.get_mut(key) else {
-            return Verdict::Drop(count::Counter::DropNoTarget);
+            return verdict::Verdict::Drop(count::Counter::DropNoTarget);
         };
         let ready = entry.confirmed
             || entry.target == bucket.fallback
@@ -430,7 +410,7 @@
         &mut self,
         view: &view::View,
         now: time::Instant,
-        packet: Packet,
+        packet: verdict::Packet,
         target: key::Target,
         phase: flow::Phase,
     ) -> Option<key::Entry> {
@@ -500,7 +480,7 @@
         }
     }
 
-    fn count_repeat(&mut self, packet: Packet) {
+    fn count_repeat(&mut self, packet: verdict::Packet) {
         if packet.header.kind == packet::Kind::First
             && let Some(entry) = self
                 .table
@@ -554,10 +534,12 @@
     }
 }
 
-fn forward(view: &view::View, now: time::Instant, target: key::Target) -> Verdict {
+fn forward(view: &view::View, now: time::Instant, target: key::Target) -> verdict::Verdict {
     match view.target(target) {
-        Some(found) if now >= found.deadline => Verdict::Drop(count::Counter::DropDeadline),
-        Some(_) => Verdict::Forward(target),
-        None => Verdict::Drop(count::Counter::DropNoTarget),
+        Some(found) if now >= found.deadline => {
+            verdict::Verdict::Drop(count::Counter::DropDeadline)
+        }
+        Some(_) => verdict::Verdict::Forward(target),
+        None => verdict::Verdict::Drop(count::Counter::DropNoTarget),
     }
 }
--- a/lib/src/transport/traffic.rs
+++ b/lib/src/transport/traffic.rs
@@ -12,7 +12,7 @@
 use crossbeam_channel::{Receiver, Sender};
 use hdrhistogram::Histogram;
 
-use crate::coordination::{hash, load, message, replica, steering};
+use crate::coordination::{hash, load, message, replica, steering, verdict};
 use crate::protocol::{ip, wire};
 use crate::state::{count, key, packet, time, view};
 use crate::transport::{batch, clock, pump, timer};
@@ -240,7 +240,7 @@
             return Ok(());
         }
         self.count(count::Counter::Received);
-        let packet = steering::Packet {
+        let packet = verdict::Packet {
             flow,
             header,
             hops: steering::MAX_HOPS,
@@ -269,7 +269,7 @@
         self.count(count::Counter::RelayReceived);
         let flow = hash::flow_key(self.parts.secret, &header.tuple);
         let hops = relay.hops.min(steering::MAX_HOPS);
-        let packet = steering::Packet { flow, header, hops };
+        let packet = verdict::Packet { flow, header, hops };
         let verdict = self.parts.shard.steer(&self.view, now, packet);
         let body = batch::Body::Slot(index, start..bytes.len());
         self.apply(
@@ -291,16 +291,16 @@
     }
 
     /// Carries out a verdict.
-    fn apply(&mut self, verdict: steering::Verdict, current: Current<'_>) {
+    fn apply(&mut self, verdict: verdict::Verdict, current: Current<'_>) {
         match verdict {
-            steering::Verdict::Drop(reason) => self.count(reason),
-            steering::Verdict::Forward(target) => {
+            verdict::Verdict::Drop(reason) => self.count(reason),
+            verdict::Verdict::Forward(target) => {
                 if let Some(target) = self.view.target(target) {
                     self.sender.push(&[], current.body, target.address);
                     self.count(count::Counter::Forwarded);
                 }
             }
-            steering::Verdict::Hold(key) => {
+            verdict::Verdict::Hold(key) => {
                 self.count(count::Counter::Held);
                 let at = self.parts.clock.now();
                 let kept = Kept {
@@ -310,8 +310,8 @@
                 };
                 self.held.insert(key, kept);
             }
-            steering::Verdict::Refuse => self.refuse(&current),
-            steering::Verdict::Relay(instance, hops) => self.relay(instance, hops, current),
+            verdict::Verdict::Refuse => self.refuse(&current),
+            verdict::Verdict::Relay(instance, hops) => self.relay(instance, hops, current),
         }
     }
 
--- a/lib/tests/holds.rs
+++ b/lib/tests/holds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quetzal_lib::coordination::{message, steering};
+use quetzal_lib::coordination::{message, verdict};
 use quetzal_lib::state::{key, packet, time};
 use quetzal_testutils::{caller, fleet, sheet};
 
@@ -12,7 +12,7 @@
 const TRIES: usize = 2_000;
 
 /// First packets of flows that the first node of a fleet holds until their replicas are kept.
-fn held(fleet: &mut fleet::Fleet, count: usize) -> Vec<(steering::Packet, steering::Verdict)> {
+fn held(fleet: &mut fleet::Fleet, count: usize) -> Vec<(verdict::Packet, verdict::Verdict)> {
     let now = fleet.now;
     let ends = time::Instant::FAR;
     let node = &mut fleet.nodes[0];
@@ -20,7 +20,7 @@
     for number in 0..TRIES {
         let tcp = packet::Protocol::Tcp;
         let flow = caller::Flow::new(number, 0, tcp, ends, Duration::from_secs(1));
-        let packet = steering::Packet {
+        let packet = verdict::Packet {
             flow: flow.key,
             header: packet::Header {
                 kind: packet::Kind::First,
@@ -29,7 +29,7 @@
             hops: 0,
         };
         let verdict = node.shard.steer(&node.view, now, packet);
-        if matches!(verdict, steering::Verdict::Hold(_)) {
+        if matches!(verdict, verdict::Verdict::Hold(_)) {
             found.push((packet, verdict));
         }
         if found.len() == count {
@@ -60,7 +60,7 @@
     assert_eq!(released.len(), 1, "the first packet has a verdict");
     for (_, verdict) in later {
         assert_ne!(verdict, first.1, "the key still names the first packet");
-        assert_ne!(verdict, steering::Verdict::Hold(released[0].0));
+        assert_ne!(verdict, verdict::Verdict::Hold(released[0].0));
     }
     assert_eq!(node.shard.held_count(), 2);
 }
--- a/lib/tests/layers.rs
+++ b/lib/tests/layers.rs
@@ -1,5 +1,6 @@
 //! Imports go one way: transport, protocol, coordination, state.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
 const LAYERS: [&str; 4] = ["state", "coordination", "protocol", "transport"];
@@ -54,3 +55,49 @@
         }
     }
 }
+
+/// The modules that a source file imports from its own layer.
+fn imports(text: &str, layer: &str) -> Vec<String> {
+    let prefix = format!("use crate::{layer}::");
+    let mut found = Vec::new();
+    for import in text.split(&prefix).skip(1) {
+        let Some((path, _)) = import.split_once(';') else {
+            continue;
+        };
+        let (parent, names) = match path.split_once('{') {
+            Some((parent, names)) => (parent, names.trim_end_matches('}')),
+            None => path.rsplit_once("::").map_or(("", path), |(parent, name)| {
+                (&path[..parent.len() + 2], name)
+            }),
+        };
+        let names = names.split(',').map(str::trim);
+        let names = names.filter(|name| !name.is_empty());
+        let module = |name: &str| name.split(" as ").next().unwrap_or(name).to_owned();
+        found.extend(names.map(|name| format!("{parent}{}", module(name))));
+    }
+    found
+}
+
+#[test]
+fn decisions_and_state_import_each_other_without_circles() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    for layer in ["state", "coordination", "protocol"] {
+        let directory = root.join(layer);
+        let mut graph: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for path in sources(&directory) {
+            let text = std::fs::read_to_string(&path).expect("source file");
+            let name = path.strip_prefix(&directory).expect("a file of the layer");
+            let name = name.with_extension("").to_string_lossy().replace('/', "::");
+            graph.insert(name, imports(&text, layer));
+        }
+        // Modules that import none of those that are left can be left out; a circle stays.
+        while let Some(free) = graph
+            .iter()
+            .find(|(_, imports)| !imports.iter().any(|name| graph.contains_key(name)))
+            .map(|(name, _)| name.clone())
+        {
+            graph.remove(&free);
+        }
+        assert!(graph.is_empty(), "circles among {:?}", graph.keys());
+    }
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzal_lib::coordination::{control, health, membership, message, placement, share, steering};
+use quetzal_lib::coordination::{
+    control, health, membership, message, placement, share, steering, verdict,
+};
 use quetzal_lib::protocol::wire;
 use quetzal_lib::state::{count, fleet, key, packet, random, time, view};
 
@@ -35,7 +37,7 @@
     ControlTick,
     Counts,
     Heartbeat(key::Instance, Box<message::Heartbeat>),
-    Packet(usize, steering::Packet),
+    Packet(usize, verdict::Packet),
     Probe,
     SendFlow(usize),
     ShardTick,
@@ -98,7 +100,7 @@
     flow: usize,
     kind: packet::Kind,
     node: usize,
-    verdict: steering::Verdict,
+    verdict: verdict::Verdict,
 }
 
 /// How a fleet is set up.
@@ -443,7 +445,7 @@
         };
         self.push(0, now + wait, Action::SendFlow(number));
         let flow = &self.flows[number];
-        let packet = steering::Packet {
+        let packet = verdict::Packet {
             flow: flow.key,
             header: packet::Header {
                 kind,
@@ -461,7 +463,7 @@
         }
     }
 
-    fn steer(&mut self, node: usize, flow: usize, packet: steering::Packet) {
+    fn steer(&mut self, node: usize, flow: usize, packet: verdict::Packet) {
         let view = Arc::clone(&self.nodes[node].view);
         let verdict = self.nodes[node].shard.steer(&view, self.now, packet);
         self.apply(node, flow, packet.header.kind, verdict);
@@ -491,7 +493,7 @@
         node: usize,
         flow: usize,
         kind: packet::Kind,
-        verdict: steering::Verdict,
+        verdict: verdict::Verdict,
     ) {
         let this = &self.flows[flow];
         let service = self.nodes[node].view.services.get(this.service);
@@ -509,24 +511,24 @@
         });
     }
 
-    fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: steering::Verdict) {
+    fn apply(&mut self, node: usize, flow: usize, kind: packet::Kind, verdict: verdict::Verdict) {
         if self.keep_steps {
             self.note_step(node, flow, kind, verdict);
         }
         match verdict {
-            steering::Verdict::Drop(reason) => self.nodes[node].shard.counters.increment(reason),
-            steering::Verdict::Forward(target) => self.arrive(node, flow, kind, target),
-            steering::Verdict::Hold(key) => {
+            verdict::Verdict::Drop(reason) => self.nodes[node].shard.counters.increment(reason),
+            verdict::Verdict::Forward(target) => self.arrive(node, flow, kind, target),
+            verdict::Verdict::Hold(key) => {
                 self.nodes[node].held.insert(key, (flow, kind));
             }
-            steering::Verdict::Refuse => self.refuse(flow),
-            steering::Verdict::Relay(peer, hops) => {
+            verdict::Verdict::Refuse => self.refuse(flow),
+            verdict::Verdict::Relay(peer, hops) => {
                 self.nodes[node]
                     .shard
                     .counters
                     .increment(count::Counter::Relayed);
                 let this = &self.flows[flow];
-                let packet = steering::Packet {
+                let packet = verdict::Packet {
                     flow: this.key,
                     header: packet::Header {
                         kind,
