transport: the last lines of a stopping process are written

Change: the instance keeps the log's guard and drops it after the control thread ended. The bucket form writes 'stopping' and 'stopped' as well. The new check of the process test did not fail before: on a machine with several cores the thread runs in time.

--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -263,6 +263,9 @@
     assert!(status.expect("its end").success());
     // The platform's pages give a process six seconds.
     assert!(start.elapsed() < Duration::from_secs(6));
+    for message in ["\"started\"", "\"stopping\"", "\"stopped\""] {
+        assert!(site.log(1).contains(message), "no line {message}");
+    }
     assert!(matches!(
         caller.request(site.traffic(0)),
         echo::Outcome::Answered(_)
--- a/lib/src/transport/control.rs
+++ b/lib/src/transport/control.rs
@@ -111,6 +111,7 @@
     let events = worker.parts.events.clone();
     let handle = Worker::handle;
     pump::control(clock, &mut worker, timers, &events, handle, Worker::finish);
+    slog::info!(worker.parts.log, "stopped");
     // The traffic threads end with the process if their queues are full.
     let _ = traffic::command_all(&worker.parts.threads, &traffic::Command::Stop);
 }
@@ -145,7 +146,10 @@
                 }
             }
             Event::Probed(target, probe) => self.parts.control.on_probe(target, probe),
-            Event::Stop => self.parts.control.leave(now),
+            Event::Stop => {
+                slog::info!(self.parts.log, "stopping"; "revision" => self.parts.control.revision());
+                self.parts.control.leave(now);
+            }
             Event::Traffic(shard, event) => self.handle_traffic(now, shard, event),
         }
     }
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -43,7 +43,7 @@
     let clock = clock::Clock::start();
     let (events, event_queue) = bounded(EVENT_QUEUE);
     let instance = &settings.instance;
-    let log = log::start(settings.log.format, &instance.name, &instance.zone);
+    let (log, log_guard) = log::start(settings.log.format, &instance.name, &instance.zone);
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
     let status = Arc::new(ArcSwap::from_pointee(status::Status::default()));
     let burn = Arc::new(ArcSwap::from_pointee(burn::Report::default()));
@@ -121,7 +121,7 @@
         watch,
     };
     let control = node::spawn("control", move || control::run(parts))?;
-    Ok(node::Node::new(control, events))
+    Ok(node::Node::new(control, events, log_guard))
 }
 
 /// Hands the datagrams of the control socket to the control thread.
--- a/lib/src/transport/log.rs
+++ b/lib/src/transport/log.rs
@@ -7,9 +7,12 @@
 /// Lines that may wait to be written.
 const QUEUED_LINES: usize = 512;
 
+/// Writes what is queued before the process ends, when it is dropped.
+pub type Guard = slog_async::AsyncGuard;
+
 /// A logger that writes to standard output on a thread of its own.
-pub fn start(format: settings::Format, instance: &str, zone: &str) -> slog::Logger {
-    let drain = match format {
+pub fn start(format: settings::Format, instance: &str, zone: &str) -> (slog::Logger, Guard) {
+    let (drain, guard) = match format {
         settings::Format::Json => start_thread(slog_json::Json::default(std::io::stdout()).fuse()),
         settings::Format::Text => {
             let decorator = slog_term::PlainDecorator::new(std::io::stdout());
@@ -17,21 +20,19 @@
             start_thread(drain)
         }
     };
-    slog::Logger::root(
-        drain,
-        slog::o!("instance" => instance.to_owned(), "zone" => zone.to_owned()),
-    )
+    let names = slog::o!("instance" => instance.to_owned(), "zone" => zone.to_owned());
+    (slog::Logger::root(drain, names), guard)
 }
 
 /// Lines that find the queue full are dropped and counted in the next line, so that no thread waits.
 fn start_thread(
     drain: impl slog::Drain<Ok = (), Err = slog::Never> + Send + 'static,
-) -> slog::Fuse<slog_async::Async> {
+) -> (slog::Fuse<slog_async::Async>, Guard) {
     let builder = slog_async::Async::new(drain).chan_size(QUEUED_LINES);
-    builder
+    let (drain, guard) = builder
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build()
-        .fuse()
+        .build_with_guard();
+    (drain.fuse(), guard)
 }
 
 /// A logger that writes nothing.
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -29,12 +29,17 @@
 pub struct Node<E> {
     control: thread::JoinHandle<()>,
     events: Sender<E>,
+    log: log::Guard,
 }
 
 impl<E> Node<E> {
-    /// An instance from its control thread and the queue of its events.
-    pub fn new(control: thread::JoinHandle<()>, events: Sender<E>) -> Self {
-        Self { control, events }
+    /// An instance from its control thread, the queue of its events and its log.
+    pub fn new(control: thread::JoinHandle<()>, events: Sender<E>, log: log::Guard) -> Self {
+        Self {
+            control,
+            events,
+            log,
+        }
     }
 
     /// What takes events for the control thread, such as the begin of a planned stop.
@@ -42,10 +47,11 @@
         self.events.clone()
     }
 
-    /// Waits until the planned stop is complete.
+    /// Waits until the planned stop is complete and its last lines are written.
     pub fn wait(self) {
         // A panic of the control thread has already been printed.
         let _ = self.control.join();
+        drop(self.log);
     }
 }
 
@@ -82,7 +88,7 @@
         self_key,
         control.lease.clone(),
     )));
-    let log = log::start(
+    let (log, log_guard) = log::start(
         settings.log.format,
         &settings.instance.number.to_string(),
         &settings.instance.zone,
@@ -152,7 +158,7 @@
         watch,
     };
     let control = spawn("control", move || control_thread::run(parts))?;
-    Ok(Node::new(control, events))
+    Ok(Node::new(control, events, log_guard))
 }
 
 fn control_config(settings: &settings::Settings, self_key: key::Instance) -> control::Config {
