transport: evidence on targets is logged with what decided it; a test of log lines

'target evidence' lines say how many packets came again, how long the longest waited, how old the last stall and the last progress are, what the links do, and whether flows are reset.

--- a/lib/src/coordination/cookie/core.rs
+++ b/lib/src/coordination/cookie/core.rs
@@ -63,8 +63,10 @@
     Publisher(bool),
     /// Traffic shows other zones to be suspect than before.
     Suspects(Vec<CompactString>),
-    /// Traffic shows that a target does not answer, or that it may be used again.
-    Target(key::Target, bool),
+    /// Traffic shows that a target does not answer.
+    Avoided(report::Finding),
+    /// A target that did not answer may be used again.
+    Usable(key::Target),
     /// This instance begins or ends to watch the publisher.
     Watching(bool),
 }
@@ -244,17 +246,20 @@
         };
         let before = std::mem::replace(before, report);
         let report = &self.reports[shard];
+        let names = |report: &report::Report, target: key::Target| {
+            report.avoided.iter().any(|found| found.target == target)
+        };
         let appeared = report
             .avoided
             .iter()
-            .filter(|key| !before.avoided.contains(key));
+            .filter(|found| !names(&before, found.target))
+            .map(|found| Event::Avoided(*found));
         let ended = before
             .avoided
             .iter()
-            .filter(|key| !report.avoided.contains(key));
-        let changes = appeared
-            .map(|key| Event::Target(*key, false))
-            .chain(ended.map(|key| Event::Target(*key, true)));
+            .filter(|found| !names(report, found.target))
+            .map(|found| Event::Usable(found.target));
+        let changes = appeared.chain(ended);
         self.outputs.extend(changes.map(Output::Log));
         if before.suspects != report.suspects {
             let names = self.snapshot.zones.iter().zip(&report.suspects);
--- a/lib/src/coordination/cookie/evidence.rs
+++ b/lib/src/coordination/cookie/evidence.rs
@@ -70,7 +70,7 @@
     /// Changes from one stalled flow to another since the last progress.
     flows: u32,
     /// Longest wait of a stalled flow since the last progress.
-    wait: time::Duration,
+    pub wait: time::Duration,
 }
 
 impl Evidence {
--- a/lib/src/coordination/cookie/forward.rs
+++ b/lib/src/coordination/cookie/forward.rs
@@ -348,7 +348,14 @@
             .iter()
             .flatten()
             .copied()
-            .filter(|key| self.evidence(*key).is_avoided(now))
+            .map(|key| (key, self.evidence(key)))
+            .filter(|(_, evidence)| evidence.is_avoided(now))
+            .map(|(target, evidence)| report::Finding {
+                dead: evidence.is_dead(now, self.links),
+                links: self.links,
+                evidence,
+                target,
+            })
             .collect();
         report::Report {
             avoided,
--- a/lib/src/coordination/cookie/report.rs
+++ b/lib/src/coordination/cookie/report.rs
@@ -1,5 +1,6 @@
 //! What a traffic thread tells the control thread: its decisions, for the log, and what it counts.
 
+use crate::coordination::cookie::evidence;
 use crate::coordination::load;
 use crate::state::{flow, key, segment, snapshot, time};
 
@@ -121,11 +122,24 @@
     pub target: key::Target,
 }
 
+/// A target that is avoided, and what speaks against it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Whether it answers nothing at all, so that its flows are reset.
+    pub dead: bool,
+    /// What is known of its flows.
+    pub evidence: evidence::Evidence,
+    /// What the links of this instance do.
+    pub links: evidence::Links,
+    /// The target.
+    pub target: key::Target,
+}
+
 /// What a traffic thread tells the control thread.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
     /// Targets that are avoided.
-    pub avoided: Vec<key::Target>,
+    pub avoided: Vec<Finding>,
     /// Decisions since the last report.
     pub decisions: Vec<Decision>,
     /// Flows seen lately.
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -355,7 +355,8 @@
         let avoided = core
             .reports
             .iter()
-            .any(|report| report.avoided.contains(&key));
+            .flat_map(|report| &report.avoided)
+            .any(|found| found.target == key);
         let fitness = match (target.usage, avoided) {
             (snapshot::Use::Place, true) => "failed",
             (snapshot::Use::Place, false) => "fit",
--- a/lib/src/transport/cookie/journal.rs
+++ b/lib/src/transport/cookie/journal.rs
@@ -58,9 +58,16 @@
         core::Event::Suspects(zones) => {
             slog::warn!(log, "suspect zones"; "zones" => zones.join(","));
         }
-        core::Event::Target(key, usable) => {
-            let target = target_id(core, *key);
-            slog::info!(log, "target evidence"; "target" => target, "usable" => usable);
+        core::Event::Avoided(found) => {
+            let evidence = found.evidence;
+            slog::info!(log, "target evidence"; "target" => target_id(core, found.target),
+                "usable" => false, "dead" => found.dead, "links" => ?found.links,
+                "stalls" => evidence.stalls, "waited_ms" => millis(evidence.wait),
+                "stalled_ms" => millis(now.since(evidence.stalled)),
+                "progress_ms" => millis(now.since(evidence.progressed)));
+        }
+        core::Event::Usable(key) => {
+            slog::info!(log, "target evidence"; "target" => target_id(core, *key), "usable" => true);
         }
         core::Event::Watching(watching) => {
             let age = core.beliefs.age(now).map(millis);
--- /dev/null
+++ b/lib/tests/cookie_journal.rs
@@ -0,0 +1,166 @@
+//! Lines of the log: every decision names the flow, what decided it and how old that was.
+
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+
+use quetzal_lib::coordination::cookie::{beat, core, evidence, report};
+use quetzal_lib::coordination::hash;
+use quetzal_lib::state::{catalog, key, packet, random, segment, snapshot, time};
+use quetzal_lib::transport::cookie::journal;
+use slog::Drain;
+
+/// What a log writes to.
+#[derive(Clone, Default)]
+struct Buffer(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Buffer {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("the buffer").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_millis(3_600_000 + millis)
+}
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 1, 0, host), 7_720))
+}
+
+/// Facts with one route and one target.
+fn facts() -> catalog::Delta {
+    let target = catalog::Target {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, 1), 8_080),
+        born: 1,
+        cold_ms: 0,
+        duty: catalog::Duty::Active,
+        service: "board".into(),
+        slots: 2,
+        zone: "here".into(),
+    };
+    let config = catalog::Config {
+        idle_timeout_ms: 15_000,
+        routes: Vec::new(),
+        services: Vec::new(),
+        version: 11,
+    };
+    let entry = catalog::Entry {
+        id: key::Name(0xb5a9),
+        presence: catalog::Presence::Present(target),
+        revision: 22,
+    };
+    catalog::Delta {
+        as_of: 23,
+        config: Some(config),
+        entries: vec![entry],
+        since: 0,
+        whole: true,
+    }
+}
+
+fn instance() -> core::Core {
+    let config = core::Config {
+        address: address(1),
+        incarnation: 1,
+        name: "one".into(),
+        zone: "here".into(),
+    };
+    core::Core::new(config, &[address(1)], 1, random::Source::new(1), at(0))
+}
+
+fn decision(core: &core::Core) -> report::Decision {
+    let segment = segment::Segment {
+        acknowledged: 0,
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 65, 0, 11), 1_032),
+        cookie: snapshot::Cookie::NONE,
+        copies: 1,
+        kind: packet::Kind::First,
+        length: 0,
+        route: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+        sequence: 5,
+    };
+    report::Decision {
+        age: time::Duration::from_millis(12),
+        as_of: 23,
+        at: at(40),
+        cause: report::Cause::Unanswered,
+        flow: hash::flow_key(hash::Secret::default(), &segment.tuple()),
+        load: snapshot::Count {
+            flows: 4,
+            waiting: 1,
+        },
+        segment,
+        target: core.beliefs.find(key::Name(0xb5a9)),
+        version: 11,
+    }
+}
+
+/// Lines without the time at which they were written.
+fn lines(buffer: &Buffer) -> String {
+    let bytes = buffer.0.lock().expect("the buffer").clone();
+    let text = String::from_utf8(bytes).expect("text");
+    text.lines()
+        .map(|line| {
+            let mut fields: serde_json::Map<String, serde_json::Value> =
+                serde_json::from_str(line).expect("JSON");
+            fields.remove("ts");
+            format!("{}\n", serde_json::Value::from(fields))
+        })
+        .collect()
+}
+
+#[test]
+fn lines_name_inputs_ages_and_outcomes() {
+    let buffer = Buffer::default();
+    let drain = Mutex::new(slog_json::Json::default(buffer.clone())).fuse();
+    let log = slog::Logger::root(drain, slog::o!());
+    let mut core = instance();
+    core.on_facts(
+        at(0),
+        &facts(),
+        time::Duration::ZERO,
+        core::Origin::Publisher,
+    );
+    let beat = beat::Beat {
+        incarnation: 2,
+        name: "two".into(),
+        sequence: 1,
+        zone: "there".into(),
+        ..beat::Beat::default()
+    };
+    core.on_beat(at(20), address(2), beat);
+    let mut report = report::Report::default();
+    let mut stalled = evidence::Evidence::default();
+    stalled.progress(at(0));
+    stalled.stall(
+        at(25),
+        1,
+        time::Duration::from_millis(20),
+        evidence::Links::Good,
+    );
+    report.avoided.push(report::Finding {
+        dead: false,
+        evidence: stalled,
+        links: evidence::Links::Good,
+        target: core.beliefs.find(key::Name(0xb5a9)).expect("a target"),
+    });
+    core.on_report(at(30), 0, report);
+    journal::decision(&log, &core, &decision(&core));
+    journal::omitted(&log, 3);
+    core.tick(at(1_500));
+    core.on_publisher_failed();
+    core.leave(at(1_600));
+    let outputs: Vec<core::Output> = core.outputs().collect();
+    for output in outputs {
+        if let core::Output::Log(event) = output {
+            journal::event(&log, &core, at(1_600), &event);
+        }
+    }
+    insta::assert_snapshot!(lines(&buffer));
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod cookie_beliefs;
 mod cookie_forward;
+mod cookie_journal;
 mod cookie_property;
 mod cookie_settings;
 mod decoders;
