standin: targets of the soak take time, and some requests take longer than callers wait

Change: requests take up to 60 ms, 8% of them up to 650 ms, in which callers send again; 40 callers.

--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -21,7 +21,7 @@
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
         let options = soak::Options {
             block,
-            callers: 12,
+            callers: 40,
             directory,
             instances: 5,
             length: LENGTH,
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -44,7 +44,7 @@
     let seconds = number("--seconds", soak::DEFAULT_SECONDS)?;
     let instances = number("--instances", 5)? as usize;
     let targets = number("--targets", 9)? as usize;
-    let callers = number("--callers", 12)? as usize;
+    let callers = number("--callers", 40)? as usize;
     let block = number("--block", 1)? as u8;
     let directory: Option<String> = arguments.opt_value_from_str("--directory").map_err(usage)?;
     let directory = directory.map_or_else(
--- a/standin/src/soak/target.rs
+++ b/standin/src/soak/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quetzal_lib::state::random;
 
@@ -11,12 +11,22 @@
 
 /// Longest wait for a packet.
 const WAIT: Duration = Duration::from_millis(50);
+/// Longest time that most requests take.
+const USUAL_WORK: Duration = Duration::from_millis(60);
+/// Longest time that some requests take, in which their callers send again: a full queue before the
+/// longest request of the users' sheets.
+const LONG_WORK: Duration = Duration::from_millis(650);
+/// Share of the requests that take long.
+const LONG_SHARE: f64 = 0.08;
+/// Shortest wait for a packet.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Bytes of a number in a request or an answer.
 const NUMBER: usize = 8;
 
 /// A flow at its target.
 struct Flow {
-    answer: Option<echo::Packet>,
+    /// The last answer, and when it is ready.
+    answer: Option<(Instant, echo::Packet)>,
     expected: u32,
     own: u32,
     is_open: bool,
@@ -46,16 +56,26 @@
         self.socket.set_read_timeout(Some(WAIT))?;
         let mut flows: HashMap<SocketAddrV4, Flow> = HashMap::new();
         let mut life = 0;
+        let mut working: Vec<(Instant, echo::Packet)> = Vec::new();
         let mut buffer = [0; echo::MAX_BYTES];
         while !self.network.state().is_over {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer) else {
-                continue;
-            };
+            let received = self.socket.recv_from(&mut buffer);
             let now_life = self.network.state().targets[self.index].life;
             if life != now_life {
                 life = now_life;
                 flows.clear();
+                working.clear();
             }
+            self.finish(&mut working);
+            let next = working.iter().map(|(ready, _)| *ready).min();
+            let wait = next.map_or(WAIT, |ready| {
+                ready.saturating_duration_since(Instant::now())
+            });
+            self.socket
+                .set_read_timeout(Some(wait.clamp(MIN_WAIT, WAIT)))?;
+            let Ok((length, from)) = received else {
+                continue;
+            };
             let Some((named, bytes)) = buffer[..length].split_first_chunk() else {
                 continue;
             };
@@ -63,16 +83,40 @@
                 continue;
             };
             if let Some(instance) = self.takes(u64::from_be_bytes(*named), from)
-                && let Some(answer) = self.handle(&mut flows, &packet, instance)
+                && let Some((ready, answer)) = self.handle(&mut flows, &packet, instance)
             {
-                let to = SocketAddrV4::new(*packet.source.ip(), self.caller_port);
-                // A caller that has gone takes no answer.
-                let _ = self.socket.send_to(&answer.write(), to);
+                working.push((ready, answer));
+                self.finish(&mut working);
             }
         }
         Ok(())
     }
 
+    /// Sends the answers that are ready; a target that is silent loses them.
+    fn finish(&self, working: &mut Vec<(Instant, echo::Packet)>) {
+        let now = Instant::now();
+        let up = self.network.state().targets[self.index].up;
+        working.retain(|(ready, answer)| {
+            let is_due = *ready <= now;
+            if is_due && up {
+                let to = SocketAddrV4::new(*answer.destination.ip(), self.caller_port);
+                // A caller that has gone takes no answer.
+                let _ = self.socket.send_to(&answer.write(), to);
+            }
+            !is_due
+        });
+    }
+
+    /// How long a request takes.
+    fn work(&mut self) -> Duration {
+        let longest = if self.random.unit() < LONG_SHARE {
+            LONG_WORK
+        } else {
+            USUAL_WORK
+        };
+        longest.mul_f64(self.random.unit())
+    }
+
     /// The instance that sent a packet, if the packet gets through and is meant for this target.
     fn takes(&mut self, named: u64, from: SocketAddr) -> Option<usize> {
         let instance = self
@@ -92,7 +136,8 @@
         flows: &mut HashMap<SocketAddrV4, Flow>,
         packet: &echo::Packet,
         instance: usize,
-    ) -> Option<echo::Packet> {
+    ) -> Option<(Instant, echo::Packet)> {
+        let now = Instant::now();
         let reply = |flags, seq, ack, data| echo::Packet {
             ack,
             data,
@@ -102,6 +147,7 @@
             seq,
             source: packet.destination,
         };
+        let work = self.work();
         if packet.flags & echo::SYN != 0 {
             let mut state = self.network.state();
             state.first_packet(self.index, packet.destination, instance);
@@ -112,11 +158,11 @@
                 own: (self.random.unit() * f64::from(u32::MAX)) as u32,
             });
             let flags = echo::SYN | echo::ACK;
-            return Some(reply(flags, flow.own, flow.expected, Vec::new()));
+            return Some((now, reply(flags, flow.own, flow.expected, Vec::new())));
         }
         let Some(flow) = flows.get_mut(&packet.source) else {
             let is_reset = packet.flags & echo::RST != 0;
-            return (!is_reset).then(|| reply(echo::RST, packet.ack, 0, Vec::new()));
+            return (!is_reset).then(|| (now, reply(echo::RST, packet.ack, 0, Vec::new())));
         };
         if packet.flags & (echo::FIN | echo::RST) != 0 {
             flows.remove(&packet.source);
@@ -132,8 +178,8 @@
         }
         let number = packet.data.first_chunk::<NUMBER>()?;
         if packet.seq != flow.expected {
-            // The request came again: its answer was lost.
-            return flow.answer.clone();
+            // The request came again: it is still worked on, or its answer was lost.
+            return flow.answer.clone().filter(|(ready, _)| *ready <= now);
         }
         flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
         let id = {
@@ -145,6 +191,7 @@
         data.extend_from_slice(number);
         let answer = reply(echo::ACK, flow.own, flow.expected, data);
         flow.own = flow.own.wrapping_add(answer.data.len() as u32);
+        let answer = (now + work, answer);
         flow.answer = Some(answer.clone());
         Some(answer)
     }
