--- a/lib/src/coordination/release.rs
+++ b/lib/src/coordination/release.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    /// hold::Held packets whose verdict is known now; their keys may name other packets from now on.
+    /// Held packets whose verdict is known now; their keys may name other packets from now on.
     pub fn released(&mut self) -> Vec<(key::Held, verdict::Verdict)> {
         let released = std::mem::take(&mut self.released);
         for (key, _) in &released {
--- a/lib/src/transport/log.rs
+++ b/lib/src/transport/log.rs
@@ -1,4 +1,6 @@
-//! The log: structured lines for changes of state; everything else is a counter.
+//! The log: structured lines for decisions and changes of beliefs; what repeats is a counter.
+//!
+//! A thread of its own writes them. Lines that find its queue full are dropped and counted.
 
 use slog::Drain;
 
