--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -59,6 +59,8 @@
     Config(u64),
     /// The registry data is confirmed again after an outage of this length.
     Confirmed(time::Duration),
+    /// All data was read as of this revision, which is below the one that is known.
+    Outdated(u64),
     /// The status, state or start of a target changed.
     Target(key::Target),
 }
@@ -175,6 +177,8 @@
                 self.remove_unlisted(now, delta, &mut changes);
                 self.compacted_revision = delta.as_of;
             }
+        } else if delta.full {
+            changes.push(Change::Outdated(delta.as_of));
         }
         for entry in &delta.entries {
             changes.extend(self.apply_entry(now, entry).map(Change::Target));
--- a/lib/src/transport/cookie/adapter.rs
+++ b/lib/src/transport/cookie/adapter.rs
@@ -21,6 +21,8 @@
 pub struct Update {
     /// Changed registry data.
     pub delta: catalog::Delta,
+    /// Number of times that the platform lost part of its history.
+    pub era: u64,
     /// Values that could not be parsed, for the log.
     pub faults: Vec<String>,
 }
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -85,6 +85,8 @@
 
 struct Worker {
     parts: Parts,
+    /// Era of the platform's last answer.
+    platform_era: Option<u64>,
     settings_text: String,
     started: time::Instant,
     stop_at: Option<time::Instant>,
@@ -100,6 +102,7 @@
     let mut worker = Worker {
         settings_text: files::read(&parts.settings_file).unwrap_or_default(),
         parts,
+        platform_era: None,
         started,
         stop_at: None,
         stopped: false,
@@ -185,6 +188,7 @@
                 let age = time::Duration::from_millis(u64::from(age_ms));
                 let origin = controller::Origin::Peer(from);
                 self.parts.controller.on_delta(now, &delta, age, origin);
+                event_log::fetched(&self.parts.log, &self.parts.controller, from, &delta);
             }
             Ok(None) => self.parts.controller.on_fetch_failed(),
             Err(report) => {
@@ -203,7 +207,14 @@
     ) {
         self.count(count::Counter::PlatformCall, 1);
         match outcome {
-            Ok(Some(adapter::Update { delta, faults, .. })) => {
+            Ok(Some(adapter::Update { delta, era, faults })) => {
+                if let Some(former) = self
+                    .platform_era
+                    .replace(era)
+                    .filter(|former| *former != era)
+                {
+                    event_log::restored(&self.parts.log, era, former, delta.as_of);
+                }
                 for fault in faults {
                     slog::error!(self.parts.log, "published fact not understood"; "why" => fault);
                 }
--- a/lib/src/transport/cookie/event_log.rs
+++ b/lib/src/transport/cookie/event_log.rs
@@ -5,7 +5,7 @@
 
 use crate::coordination::cookie::{controller, peers, registry, report};
 use crate::protocol::fault;
-use crate::state::{flow, key, time};
+use crate::state::{catalog, flow, key, time};
 
 /// Whole milliseconds, the unit of all times in log lines.
 pub fn millis(duration: time::Duration) -> u64 {
@@ -117,6 +117,10 @@
             slog::warn!(log, "facts confirmed after an outage"; "gap_ms" => millis(*gap),
                 "as_of" => as_of, "from" => origin);
         }
+        registry::Change::Outdated(read_as_of) => {
+            slog::warn!(log, "facts older than known"; "read_as_of" => read_as_of, "as_of" => as_of,
+                "age_ms" => age, "from" => origin);
+        }
         registry::Change::Target(key) => {
             let Some(record) = controller.registry.targets.get(*key) else {
                 return;
@@ -157,6 +161,26 @@
     slog::info!(log, "zone"; "peer_zone" => name, "state" => state);
 }
 
+/// Logs what a fetch from a peer brought.
+pub fn fetched(
+    log: &slog::Logger,
+    controller: &controller::Controller,
+    from: std::net::SocketAddr,
+    delta: &catalog::Delta,
+) {
+    let registry = &controller.registry;
+    slog::info!(log, "fetched"; "from" => %from, "entries" => delta.entries.len(),
+        "brought_version" => delta.config.as_ref().map(|config| config.version),
+        "brought_as_of" => delta.as_of, "full" => delta.full,
+        "version" => registry.version(), "as_of" => registry.as_of);
+}
+
+/// Logs that the platform lost part of its history.
+pub fn restored(log: &slog::Logger, era: u64, former: u64, as_of: u64) {
+    slog::warn!(log, "platform restored"; "era" => era, "former_era" => former,
+        "platform_as_of" => as_of);
+}
+
 /// Logs a failed call to the platform.
 pub fn call_failed(log: &slog::Logger, report: &error_stack::Report<fault::Fault>) {
     slog::warn!(log, "platform call failed"; "code" => %fault::code(report),
--- a/lib/src/transport/http_client.rs
+++ b/lib/src/transport/http_client.rs
@@ -16,6 +16,14 @@
     pub body: String,
     /// Status code.
     pub status: u16,
+    headers: ureq::http::HeaderMap,
+}
+
+impl Response {
+    /// The value of a header; none if it is absent or no text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
 }
 
 /// A client of one server that reuses its connection.
@@ -57,10 +65,12 @@
             |error: ureq::Error| fault::report(self.unreachable, format!("{url}: {error}"));
         let mut response = self.agent.get(&url).call().map_err(failed)?;
         let status = response.status().as_u16();
+        let headers = std::mem::take(response.headers_mut());
         let body = response.body_mut().with_config().limit(self.limit);
         Ok(Response {
             body: body.read_to_string().map_err(failed)?,
             status,
+            headers,
         })
     }
 }
