--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -20,17 +20,17 @@
 const ROUTE_PORT: u16 = 8_443;
 
 /// Instances, targets and a store on a dedicated block of addresses.
-struct Site {
+pub struct Site {
     _lock: MutexGuard<'static, ()>,
     block: u8,
     children: Vec<Option<Child>>,
     directory: PathBuf,
-    store: store::Store,
+    pub store: store::Store,
 }
 
 impl Site {
     /// Starts the store with a route and two targets, and then the instances, one after the other.
-    fn start(block: u8, instances: usize) -> Self {
+    pub fn start(block: u8, instances: usize) -> Self {
         let lock = site::lock_sites();
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cookie-{block}"));
         std::fs::create_dir_all(&directory).expect("a directory for the test");
@@ -55,7 +55,7 @@
         site
     }
 
-    fn publish_config(&self, version: u64, service: &str) {
+    pub fn publish_config(&self, version: u64, service: &str) {
         let route = json!({"name": "one", "host": self.route().ip().to_string(),
             "prefix": format!("/{ROUTE_PORT}/"), "type": "safe", "service": service});
         let services = [
@@ -67,20 +67,21 @@
         self.store.put("op/config", &config);
     }
 
-    fn add_target(&self, number: u8, service: &str) {
+    pub fn add_target(&self, number: u8, service: &str) {
         let address = SocketAddrV4::new(ip(self.block, 100 + number), 8_080);
         echo::start_target(address, u64::from(number), TRAFFIC_PORT).expect("a target");
         self.register(number, service, "ready");
     }
 
-    fn register(&self, number: u8, service: &str, state: &str) {
+    pub fn register(&self, number: u8, service: &str, state: &str) {
         let address = format!("{}:8080", ip(self.block, 100 + number));
         let entry = json!({"service": service, "address": address, "zone": "here",
-            "version": "v1", "slots": 2, "state": state, "coldMs": 0, "seq": 1});
+            "version": "v1", "slots": 2, "state": state, "coldMs": 0,
+            "seq": self.store.next_revision(), "born": 1_764_000_000_000_u64});
         self.store.put(&format!("servers/{number:x}"), &entry);
     }
 
-    fn start_instance(&mut self, instance: usize) {
+    pub fn start_instance(&mut self, instance: usize) {
         let own = ip(self.block, 1 + instance as u8);
         let (seed, store) = (ip(self.block, 1), ip(self.block, 200));
         let text = fleet::settings(
@@ -101,41 +102,49 @@
         self.children[instance] = Some(child.expect("an instance starts"));
     }
 
-    fn signal(&self, instance: usize, signal: Signal) {
+    pub fn signal(&self, instance: usize, signal: Signal) {
         let child = self.children[instance]
             .as_ref()
             .expect("a running instance");
         signal::kill(Pid::from_raw(child.id() as i32), signal).expect("a signal sent");
     }
 
-    fn traffic_address(&self, instance: usize) -> SocketAddr {
+    pub fn traffic_address(&self, instance: usize) -> SocketAddr {
         SocketAddr::new(ip(self.block, 1 + instance as u8).into(), TRAFFIC_PORT)
     }
 
-    fn page(&self, instance: usize, path: &str) -> Option<String> {
+    pub fn page(&self, instance: usize, path: &str) -> Option<String> {
         let address = SocketAddr::new(ip(self.block, 1 + instance as u8).into(), 8_167);
         http_client::get(address, path).ok()
     }
 
-    fn is_ready(&self, instance: usize) -> bool {
+    pub fn is_ready(&self, instance: usize) -> bool {
         self.page(instance, "/ready").is_some()
     }
 
-    fn log(&self, instance: usize) -> String {
+    pub fn log(&self, instance: usize) -> String {
         let file = self.directory.join(format!("{instance}.log"));
         std::fs::read_to_string(file).expect("a log")
     }
 
+    /// Kills an instance and starts it again.
+    pub fn restart_instance(&mut self, instance: usize) {
+        self.signal(instance, Signal::SIGKILL);
+        let mut child = self.children[instance].take().expect("a child");
+        child.wait().expect("its end");
+        self.start_instance(instance);
+    }
+
     fn route(&self) -> SocketAddrV4 {
         SocketAddrV4::new(Ipv4Addr::new(198, 18, self.block, 1), ROUTE_PORT)
     }
 
-    fn caller(&self, number: u8) -> echo::Caller {
+    pub fn caller(&self, number: u8) -> echo::Caller {
         let ip = ip(self.block, 150 + number);
         echo::Caller::new(ip, TRAFFIC_PORT, self.route()).expect("a caller")
     }
 
-    fn wait_until(&mut self, what: &str, mut condition: impl FnMut(&mut Self) -> bool) {
+    pub fn wait_until(&mut self, what: &str, mut condition: impl FnMut(&mut Self) -> bool) {
         let start = Instant::now();
         while !condition(self) {
             assert!(start.elapsed() < TIMEOUT, "not within {TIMEOUT:?}: {what}");
@@ -144,7 +153,12 @@
     }
 
     /// Whether one of eight new flows through an instance goes to a target.
-    fn places_new_flow_on(&self, caller: &mut echo::Caller, instance: usize, target: u64) -> bool {
+    pub fn places_new_flow_on(
+        &self,
+        caller: &mut echo::Caller,
+        instance: usize,
+        target: u64,
+    ) -> bool {
         (0..8).any(|_| {
             caller.open(self.traffic_address(instance)) == echo::Outcome::Opened
                 && caller.request(self.traffic_address(instance)) == echo::Outcome::Answered(target)
@@ -224,13 +238,7 @@
 fn an_instance_that_starts_while_the_store_is_down_serves() {
     let mut site = Site::start(4, 2);
     site.store.set_mode(store::Mode::Busy);
-    site.signal(1, Signal::SIGKILL);
-    site.children[1]
-        .take()
-        .expect("a child")
-        .wait()
-        .expect("its end");
-    site.start_instance(1);
+    site.restart_instance(1);
     site.wait_until("ready from a peer", |site| site.is_ready(1));
     let mut caller = site.caller(1);
     assert_eq!(caller.open(site.traffic_address(1)), echo::Outcome::Opened);
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -3,5 +3,6 @@
 mod command_line;
 mod cookie;
 mod failures;
+mod restored_platform;
 mod site;
 mod soak;
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -47,16 +47,29 @@
         body: String,
         /// Media type.
         content_type: &'static str,
+        /// Further headers, with names in lower case.
+        headers: Vec<(&'static str, String)>,
         /// Status code.
         status: u16,
     },
 }
 
+impl Response {
+    /// Adds a header to a page. The name is in lower case.
+    pub fn with_header(mut self, name: &'static str, value: String) -> Self {
+        if let Self::Page { headers, .. } = &mut self {
+            headers.push((name, value));
+        }
+        self
+    }
+}
+
 /// A page of plain text.
 pub fn text(status: u16, body: impl Into<String>) -> Response {
     Response::Page {
         body: body.into(),
         content_type: "text/plain; charset=utf-8",
+        headers: Vec::new(),
         status,
     }
 }
@@ -67,6 +80,7 @@
         Ok(body) => Response::Page {
             body,
             content_type: "application/json",
+            headers: Vec::new(),
             status: 200,
         },
         Err(error) => text(500, error.to_string()),
@@ -91,6 +105,7 @@
             Response::Page {
                 body,
                 content_type,
+                headers,
                 status,
             } => {
                 let mut response = WebResponse::new(ResponseBody::from(body));
@@ -99,6 +114,11 @@
                 response
                     .headers_mut()
                     .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+                for (name, value) in headers {
+                    if let Ok(value) = HeaderValue::from_str(&value) {
+                        response.headers_mut().insert(name, value);
+                    }
+                }
                 return response;
             }
         }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -27,9 +27,19 @@
     Up,
 }
 
+/// A copy of the items, from which the store can be restored.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    items: BTreeMap<String, Value>,
+    min_watch_revision: u64,
+    revision: u64,
+}
+
 #[derive(Default)]
 struct State {
     calls: u64,
+    /// Number of times that the store was restored.
+    era: u64,
     min_watch_revision: u64,
     history: Vec<(u64, Value)>,
     items: BTreeMap<String, Value>,
@@ -87,6 +97,33 @@
         state.revision += 1;
     }
 
+    /// Copies the items.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy {
+            items: state.items.clone(),
+            min_watch_revision: state.min_watch_revision,
+            revision: state.revision,
+        }
+    }
+
+    /// Goes back to a copy. Later writes are lost, and their revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state();
+        state.era += 1;
+        state.items = copy.items.clone();
+        state
+            .history
+            .retain(|(revision, _)| *revision <= copy.revision);
+        state.min_watch_revision = copy.min_watch_revision;
+        state.revision = copy.revision;
+    }
+
+    /// Revision of the next write.
+    pub fn next_revision(&self) -> u64 {
+        self.state().revision + 1
+    }
+
     /// Number of requests so far.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -101,16 +138,15 @@
         if request.waited.is_zero() {
             state.calls += 1;
         }
-        if state.mode == Mode::Busy {
-            return http_server::text(503, "");
-        }
-        match request.path.as_str() {
+        let response = match request.path.as_str() {
+            _ if state.mode == Mode::Busy => http_server::text(503, ""),
             "/quetzalspur/kv-range" => {
                 http_server::json(&state.range(request.query_value("after")))
             }
             "/quetzalspur/kv-watch" => state.watch(request),
             _ => http_server::text(404, ""),
-        }
+        };
+        response.with_header("store-era", state.era.to_string())
     }
 }
 
@@ -128,7 +164,7 @@
         let number = |name| request.query_value(name).and_then(|text| text.parse().ok());
         let after: u64 = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
-        if after < self.min_watch_revision {
+        if after < self.min_watch_revision || after > self.revision {
             return http_server::text(410, "");
         }
         let changes = self
