--- a/lib/src/coordination/cookie/controller.rs
+++ b/lib/src/coordination/cookie/controller.rs
@@ -74,8 +74,8 @@
 pub enum Output {
     /// Send a heartbeat to addresses.
     Heartbeat(Vec<SocketAddr>, Box<heartbeat::Heartbeat>),
-    /// Fetch the changes after a revision from a peer.
-    Fetch(SocketAddr, u64),
+    /// Fetch from a peer what it has beyond a position.
+    Fetch(SocketAddr, catalog::Position),
     /// Write a log line.
     Log(Event),
     /// Publish a snapshot to the traffic threads.
@@ -189,7 +189,7 @@
     }
 
     /// Handles a heartbeat: merges what it announces, answers what it asks, and starts a fetch if
-    /// the sender has newer registry data and this instance does not currently read the platform
+    /// the sender has newer registry data that this instance will not soon read from the platform
     /// itself.
     pub fn on_heartbeat(
         &mut self,
@@ -213,13 +213,16 @@
             self.reply(now, from, news.current_at.is_none());
         }
         self.answer(now, from, &news.suspects);
-        let newer = news.as_of > self.registry.as_of || news.version > self.registry.version();
-        let older = news.as_of < self.registry.as_of || news.version < self.registry.version();
+        let (own, theirs) = (self.registry.position(), news.position);
+        let newer = theirs.as_of > own.as_of || theirs.version > own.version;
+        let older = theirs.as_of < own.as_of || theirs.version < own.version;
         let reads_platform = self.watching && self.platform_answer_age(now) < duty::STALE_AFTER;
-        if older && news.as_of > 0 {
-            self.send_changes(now, news.as_of, vec![from]);
+        // The platform may have lost the newer configuration.
+        let is_wanted = newer && (!reads_platform || theirs.version > own.version);
+        if older && theirs.as_of > 0 {
+            self.send_changes(now, theirs, vec![from]);
         }
-        if newer && !reads_platform {
+        if is_wanted {
             match delta.filter(|delta| self.registry.continues(delta)) {
                 Some(delta) => {
                     let age = news
@@ -312,10 +315,10 @@
         age: time::Duration,
         from: Origin,
     ) {
-        let before = (self.registry.as_of, self.registry.version());
+        let before = self.registry.position();
         let generation = self.registry.generation;
         let changes = self.registry.apply(now, delta, now.before(age));
-        let had_data = before.0 > 0;
+        let had_data = before.as_of > 0;
         if had_data {
             self.log_registry_changes(changes, from);
         } else {
@@ -324,14 +327,14 @@
         if self.registry.generation != generation {
             self.publish(now);
         }
-        if had_data && before != (self.registry.as_of, self.registry.version()) {
-            self.announce(now, before.0, from);
+        if had_data && before != self.registry.position() {
+            self.announce(now, before, from);
         }
     }
 
-    /// Sends the changes after a revision to some instances. Only one that has them from the
+    /// Sends the changes after a position to some instances. Only one that has them from the
     /// platform sends them to other zones too.
-    fn announce(&mut self, now: time::Instant, since: u64, from: Origin) {
+    fn announce(&mut self, now: time::Instant, since: catalog::Position, from: Origin) {
         let to_all_zones = from == Origin::Platform;
         let receivers = self
             .peers
@@ -343,8 +346,8 @@
         }
     }
 
-    /// Sends the changes after a revision, or only tells that there are changes if they are many.
-    fn send_changes(&mut self, now: time::Instant, since: u64, to: Vec<SocketAddr>) {
+    /// Sends the changes after a position, or only tells that there are changes if they are many.
+    fn send_changes(&mut self, now: time::Instant, since: catalog::Position, to: Vec<SocketAddr>) {
         let delta = self.registry.delta_since(since);
         let small = !delta.full && delta.item_count() <= MAX_ANNOUNCED_ITEMS;
         let heartbeat = heartbeat::Heartbeat {
@@ -402,8 +405,12 @@
         }
     }
 
-    /// All changes after a revision, and the age of the registry data in milliseconds.
-    pub fn delta_since(&self, now: time::Instant, since: u64) -> (catalog::Delta, u32) {
+    /// All changes after a position, and the age of the registry data in milliseconds.
+    pub fn delta_since(
+        &self,
+        now: time::Instant,
+        since: catalog::Position,
+    ) -> (catalog::Delta, u32) {
         let age = self.registry.age(now).unwrap_or(time::Duration::MAX);
         (self.registry.delta_since(since), time::millis(age))
     }
@@ -480,7 +487,8 @@
     fn fetch(&mut self, now: time::Instant, from: SocketAddr) {
         if self.fetch_started.is_none() {
             self.fetch_started = Some(now);
-            self.outputs.push(Output::Fetch(from, self.registry.as_of));
+            let position = self.registry.position();
+            self.outputs.push(Output::Fetch(from, position));
         }
     }
 
@@ -551,7 +559,6 @@
         self.sequence += 1;
         heartbeat::Heartbeat {
             age_ms: self.registry.age(now).map(time::millis),
-            as_of: self.registry.as_of,
             candidates: self.duty.candidates.advertised(now),
             contact_ms: self
                 .platform_answered_at
@@ -565,10 +572,10 @@
             name: self.config.name.clone(),
             offers: false,
             peers,
+            position: self.registry.position(),
             progress: Vec::new(),
             sequence: self.sequence,
             suspects: Vec::new(),
-            version: self.registry.version(),
             zones,
         }
     }
@@ -619,7 +626,7 @@
         let version = self.registry.version();
         let newer = |peer: &peers::Peer| {
             let heard = peer.heartbeat.as_ref();
-            heard.is_some_and(|heartbeat| heartbeat.version > version)
+            heard.is_some_and(|heartbeat| heartbeat.position.version > version)
         };
         let is_behind = self.peers.alive(now).any(|(_, peer)| newer(peer));
         let own = self.own_loads();
--- a/lib/src/coordination/cookie/heartbeat.rs
+++ b/lib/src/coordination/cookie/heartbeat.rs
@@ -84,8 +84,6 @@
 pub struct Heartbeat {
     /// Age of the sender's registry data in milliseconds; none if it has none.
     pub age_ms: Option<u32>,
-    /// Revision of the sender's registry data.
-    pub as_of: u64,
     /// Other instances that watch the platform or are next to do so.
     pub candidates: Vec<Candidate>,
     /// Time since the platform last answered the sender itself, in milliseconds; none if it is not
@@ -107,6 +105,8 @@
     pub offers: bool,
     /// Some of the instances that the sender knows.
     pub peers: Vec<Contact>,
+    /// How far the sender's registry data reaches.
+    pub position: catalog::Position,
     /// Answer to `suspects` of the receiver.
     pub progress: Vec<Progress>,
     /// Number of the heartbeat, ascending within one process.
@@ -114,8 +114,6 @@
     /// Cookies of targets that do not answer the sender. A receiver that knows of recent progress
     /// of one of them replies with it.
     pub suspects: Vec<u32>,
-    /// Version of the configuration in force at the sender.
-    pub version: u64,
     /// The sender's zone, and possibly others after it.
     pub zones: Vec<Zone>,
 }
--- a/lib/src/coordination/cookie/news.rs
+++ b/lib/src/coordination/cookie/news.rs
@@ -1,14 +1,12 @@
 //! What a heartbeat tells the controller, with ages turned into instants.
 
 use crate::coordination::cookie::{candidates, heartbeat};
-use crate::state::time;
+use crate::state::{catalog, time};
 
 /// What a heartbeat tells the controller.
 pub struct News {
     /// When the platform last answered the sender; none if it does not watch.
     pub answered_at: Option<time::Instant>,
-    /// Revision of the sender's registry data.
-    pub as_of: u64,
     /// Instances that watch the platform or may have to.
     pub candidates: Vec<candidates::Candidate>,
     /// When the sender's registry data was current; none if it has none.
@@ -19,10 +17,10 @@
     pub leaving: bool,
     /// Whether all registry data may be fetched from the sender.
     pub offers: bool,
+    /// How far the sender's registry data reaches.
+    pub position: catalog::Position,
     /// Cookies of targets that do not answer the sender.
     pub suspects: Vec<u32>,
-    /// Version of the sender's configuration.
-    pub version: u64,
 }
 
 impl News {
@@ -43,14 +41,13 @@
         });
         Self {
             answered_at: heartbeat.contact_ms.map(before),
-            as_of: heartbeat.as_of,
             candidates: candidates.collect(),
             current_at: heartbeat.age_ms.map(before),
             has_progress: !heartbeat.progress.is_empty(),
             leaving: heartbeat.leaving,
             offers: heartbeat.offers,
+            position: heartbeat.position,
             suspects: std::mem::take(&mut heartbeat.suspects),
-            version: heartbeat.version,
         }
     }
 }
--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -80,8 +80,6 @@
     pub membership_generation: u64,
     /// Known targets, including removed ones that are still kept.
     pub targets: arena::Arena<key::Target, Record>,
-    /// Revision of the data that brought the configuration in force.
-    config_as_of: u64,
     /// Removals up to this revision may no longer be recorded.
     compacted_revision: u64,
     grace_until: time::Instant,
@@ -108,6 +106,14 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
+    /// How far the data reaches.
+    pub fn position(&self) -> catalog::Position {
+        catalog::Position {
+            as_of: self.as_of,
+            version: self.version(),
+        }
+    }
+
     /// Whether the data suffices for the placement of new flows.
     pub fn is_complete(&self) -> bool {
         self.config.is_some() && self.as_of > 0
@@ -167,7 +173,6 @@
             changes.push(Change::Config(config.version));
             self.generation += 1;
             self.config = Some(config.clone());
-            self.config_as_of = delta.as_of;
         }
         if self.continues(delta) && delta.as_of >= self.as_of {
             // Starts the grace period after an outage, on which the removals below depend.
@@ -212,8 +217,10 @@
         changes
     }
 
-    /// All changes after a revision, for another instance.
-    pub fn delta_since(&self, since: u64) -> catalog::Delta {
+    /// All that another instance lacks, whose data reaches to a position. A configuration is known
+    /// by its version, since it may arrive under any revision.
+    pub fn delta_since(&self, position: catalog::Position) -> catalog::Delta {
+        let since = position.as_of;
         let full = since < self.compacted_revision || since == 0;
         let entries = self
             .targets
@@ -234,7 +241,7 @@
             config: self
                 .config
                 .clone()
-                .filter(|_| full || self.config_as_of > since),
+                .filter(|config| config.version > position.version),
             entries,
             since: if full { 0 } else { since },
             full,
--- a/lib/src/state/catalog.rs
+++ b/lib/src/state/catalog.rs
@@ -115,12 +115,21 @@
     pub revision: u64,
 }
 
+/// How far registry data reaches.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Position {
+    /// Revision up to which all changes of registrations are known, zero without data.
+    pub as_of: u64,
+    /// Version of the configuration, zero without one.
+    pub version: u64,
+}
+
 /// The changes between two revisions.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Delta {
     /// Revision after the changes.
     pub as_of: u64,
-    /// The configuration, if it changed.
+    /// The configuration, if the receiver may have an older version.
     pub config: Option<Config>,
     /// Registrations that changed.
     pub entries: Vec<Registration>,
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -33,8 +33,8 @@
     Datagram(SocketAddr, Vec<u8>),
     /// Result of a fetch from a peer: the registry data and its age in milliseconds.
     Fetched(SocketAddr, fault::Result<Option<(catalog::Delta, u32)>>),
-    /// Another instance requests the changes after a revision.
-    DeltaRequested(u64, Sender<(catalog::Delta, u32)>),
+    /// Another instance requests the changes after a position.
+    DeltaRequested(catalog::Position, Sender<(catalog::Delta, u32)>),
     /// Result of a call to the platform, and when it arrived.
     Platform(time::Instant, fault::Result<Option<adapter::Update>>),
     /// Check the settings file for changes.
@@ -61,8 +61,8 @@
     pub events: Receiver<Event>,
     /// Whether this instance is ready, for health checks.
     pub ready: Arc<AtomicBool>,
-    /// Requests to the fetch thread: a peer and the revision after which changes are wanted.
-    pub fetch_requests: Sender<(SocketAddr, u64)>,
+    /// Requests to the fetch thread: a peer and the position after which changes are wanted.
+    pub fetch_requests: Sender<(SocketAddr, catalog::Position)>,
     /// Log.
     pub log: slog::Logger,
     /// Revision from which the platform watch continues.
@@ -382,7 +382,7 @@
                 instance: key.0,
                 name: heartbeat.name.clone(),
                 phase: None,
-                revision: heartbeat.version,
+                revision: heartbeat.position.version,
                 silent_ms: Some(event_log::millis(now.since(peer.last_seen))),
             })
         })
--- a/lib/src/transport/cookie/event_log.rs
+++ b/lib/src/transport/cookie/event_log.rs
@@ -153,7 +153,7 @@
     if let Some((peer, heartbeat)) = heard {
         slog::info!(log, "peer"; "peer" => heartbeat.name.as_str(), "address" => %peer.address,
             "state" => state, "peer_zone" => peer.zone.as_str(),
-            "silent_ms" => millis(now.since(peer.last_seen)), "as_of" => heartbeat.as_of);
+            "silent_ms" => millis(now.since(peer.last_seen)), "as_of" => heartbeat.position.as_of);
     }
 }
 
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -11,7 +11,7 @@
 use crate::coordination::burn;
 use crate::coordination::cookie::{controller, forward};
 use crate::protocol::{cookie_settings, fault, status};
-use crate::state::{code, count, key, random, snapshot, time};
+use crate::state::{catalog, code, count, key, random, snapshot, time};
 use crate::transport::cookie::{adapter, control, traffic};
 use crate::transport::{batch, clock, http_server, log, node, transfer, watch};
 
@@ -164,13 +164,18 @@
         .map_err(|error| node::unavailable(format!("{address}: {error}")))?;
     let keyring = settings.keyring.clone();
     node::spawn("offers", move || {
-        transfer::serve(&listener, &keyring, key::Instance(0), |since| {
-            let (answer, answers) = bounded(1);
-            events
-                .send(control::Event::DeltaRequested(since, answer))
-                .ok()?;
-            answers.recv_timeout(DELTA_TIMEOUT).ok()
-        });
+        transfer::serve(
+            &listener,
+            &keyring,
+            key::Instance(0),
+            |since: catalog::Position| {
+                let (answer, answers) = bounded(1);
+                events
+                    .send(control::Event::DeltaRequested(since, answer))
+                    .ok()?;
+                answers.recv_timeout(DELTA_TIMEOUT).ok()
+            },
+        );
     })
     .map(drop)
 }
@@ -179,12 +184,12 @@
 fn spawn_fetcher(
     settings: &cookie_settings::Settings,
     events: Sender<control::Event>,
-) -> fault::Result<Sender<(std::net::SocketAddr, u64)>> {
+) -> fault::Result<Sender<(std::net::SocketAddr, catalog::Position)>> {
     let (fetch_requests, queue) = bounded(1);
     let (keyring, from) = (settings.keyring.clone(), settings.instance.control.ip());
     node::spawn("fetch", move || {
         for (address, since) in queue {
-            let outcome = transfer::fetch(from, address, &keyring, key::Instance(0), since);
+            let outcome = transfer::fetch(from, address, &keyring, key::Instance(0), &since);
             if events
                 .send(control::Event::Fetched(address, outcome))
                 .is_err()
--- a/lib/src/transport/node.rs
+++ b/lib/src/transport/node.rs
@@ -248,7 +248,9 @@
     let listener =
         TcpListener::bind(address).map_err(|error| unavailable(format!("{address}: {error}")))?;
     spawn("transfer", move || {
-        transfer::serve(&listener, &keyring, self_key, |_| served_sheet.load_full());
+        transfer::serve(&listener, &keyring, self_key, |_: message::Fetch| {
+            served_sheet.load_full()
+        });
     })
     .map(drop)
 }
@@ -262,8 +264,9 @@
     let (keyring, from) = (settings.keyring.clone(), settings.instance.address);
     spawn("fetch", move || {
         for (address, above) in queue {
+            let request = message::Fetch { above };
             let bundle =
-                transfer::fetch(from, address, &keyring, self_key, above).unwrap_or_default();
+                transfer::fetch(from, address, &keyring, self_key, &request).unwrap_or_default();
             let _ = events.send(control_thread::Event::Fetched(bundle));
         }
     })?;
--- a/lib/src/transport/transfer.rs
+++ b/lib/src/transport/transfer.rs
@@ -7,7 +7,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::message;
 use crate::protocol::{fault, wire};
 use crate::state::{code, key};
 
@@ -38,38 +37,33 @@
     stream.set_write_timeout(Some(TIMEOUT))
 }
 
-/// Serves requests on a listener one at a time while the process runs. `content_above` returns the
-/// content above a revision, or `None` if there is none.
-pub fn serve<T: Serialize>(
+/// Serves requests on a listener one at a time while the process runs. `answer` returns the content
+/// that a request asks for, or `None` if there is none.
+pub fn serve<R: for<'a> Deserialize<'a>, T: Serialize>(
     listener: &TcpListener,
     keyring: &wire::Keyring,
     self_key: key::Instance,
-    content_above: impl Fn(u64) -> Option<T>,
+    answer: impl Fn(R) -> Option<T>,
 ) {
     for stream in listener.incoming().flatten() {
         // The instance that made a failed request retries it.
-        let _ = respond(stream, keyring, self_key, &content_above);
+        let _ = respond(stream, keyring, self_key, &answer);
     }
 }
 
-fn respond<T: Serialize>(
+fn respond<R: for<'a> Deserialize<'a>, T: Serialize>(
     mut stream: TcpStream,
     keyring: &wire::Keyring,
     self_key: key::Instance,
-    content_above: &impl Fn(u64) -> Option<T>,
+    answer: &impl Fn(R) -> Option<T>,
 ) -> io::Result<()> {
     const MAX_REQUEST_BYTES: u32 = 256;
     set_timeouts(&stream)?;
     let request = read_frame(&mut stream, MAX_REQUEST_BYTES)?;
-    let Ok((_, fetch)) = wire::decode::<message::Fetch>(keyring, &request) else {
+    let Ok((_, request)) = wire::decode::<R>(keyring, &request) else {
         return Ok(());
     };
-    let frame = wire::encode(
-        keyring,
-        wire::Kind::Fetch,
-        self_key,
-        &content_above(fetch.above),
-    );
+    let frame = wire::encode(keyring, wire::Kind::Fetch, self_key, &answer(request));
     write_frame(&mut stream, &frame)
 }
 
@@ -85,14 +79,14 @@
     Ok(socket.into())
 }
 
-/// Fetches a peer's content above a revision; `None` if it has none. Errors are
+/// Fetches from a peer what a request asks for; `None` if it has none. Errors are
 /// `InstanceUnreachable` and `FrameEncoding`.
-pub fn fetch<T: for<'a> Deserialize<'a>>(
+pub fn fetch<R: Serialize, T: for<'a> Deserialize<'a>>(
     from: IpAddr,
     address: SocketAddr,
     keyring: &wire::Keyring,
     self_key: key::Instance,
-    above: u64,
+    request: &R,
 ) -> fault::Result<Option<T>> {
     let unreachable = |error: io::Error| {
         fault::report(
@@ -102,12 +96,7 @@
     };
     let mut stream = connect(from, address).map_err(unreachable)?;
     set_timeouts(&stream).map_err(unreachable)?;
-    let request = wire::encode(
-        keyring,
-        wire::Kind::Fetch,
-        self_key,
-        &message::Fetch { above },
-    );
+    let request = wire::encode(keyring, wire::Kind::Fetch, self_key, request);
     write_frame(&mut stream, &request).map_err(unreachable)?;
     let frame = read_frame(&mut stream, MAX_FRAME_BYTES).map_err(unreachable)?;
     let (_, content) = wire::decode::<Option<T>>(keyring, &frame).map_err(|_| {
--- a/lib/tests/cookie_registry.rs
+++ b/lib/tests/cookie_registry.rs
@@ -66,6 +66,10 @@
     }
 }
 
+fn position(as_of: u64, version: u64) -> catalog::Position {
+    catalog::Position { as_of, version }
+}
+
 fn status(registry: &registry::Registry, id: u64) -> Option<registry::Status> {
     let key = registry.find(key::Id(id))?;
     registry.targets.get(key).map(|record| record.status)
@@ -136,8 +140,8 @@
     registry.tick(at(76_000));
     assert_eq!(status(&registry, 2), None);
     // An instance that still knows the target needs a full delta.
-    assert!(registry.delta_since(5).full);
-    assert!(!registry.delta_since(6).full);
+    assert!(registry.delta_since(position(5, 3)).full);
+    assert!(!registry.delta_since(position(6, 3)).full);
 }
 
 #[test]
@@ -156,11 +160,35 @@
 fn deltas_carry_only_what_the_requester_lacks() {
     let mut registry = loaded_registry();
     registry.apply(at(100), &partial_delta(5, 8, vec![present(3, 8)]), at(100));
-    let delta = registry.delta_since(5);
+    let delta = registry.delta_since(position(5, 3));
     assert_eq!(delta.config, None);
     assert_eq!(delta.entries.len(), 1);
-    assert_eq!(registry.delta_since(0).entries.len(), 3);
-    assert_eq!(registry.delta_since(0).config, Some(config(3)));
+    assert_eq!(
+        registry
+            .delta_since(catalog::Position::default())
+            .entries
+            .len(),
+        3
+    );
+    assert_eq!(
+        registry.delta_since(catalog::Position::default()).config,
+        Some(config(3))
+    );
+}
+
+// Guards against a configuration that stays on the instances that read it from a restored platform,
+// where it has a revision that their peers already know.
+#[test]
+fn a_configuration_is_sent_by_its_version_under_any_revision() {
+    let mut registry = loaded_registry();
+    registry.apply(at(100), &full_delta(4, 6, vec![]), at(100));
+    let version = |position| {
+        let config = registry.delta_since(position).config;
+        config.map(|config| config.version)
+    };
+    assert_eq!(version(position(5, 3)), Some(6));
+    assert_eq!(version(position(9, 3)), Some(6));
+    assert_eq!(version(position(5, 6)), None);
 }
 
 #[test]
