--- a/lib/src/coordination/cookie/controller.rs
+++ b/lib/src/coordination/cookie/controller.rs
@@ -171,6 +171,11 @@
         self.registry.is_complete() && !self.leaving
     }
 
+    /// Revision from which the platform is watched; none if all data must be read.
+    pub fn watched_from(&self) -> Option<catalog::Revision> {
+        Some(self.registry.as_of).filter(|as_of| *as_of > catalog::Revision::NONE)
+    }
+
     /// Whether the platform answered the last call; none if it was never called.
     pub fn is_platform_reachable(&self) -> Option<bool> {
         self.platform_reachable
@@ -217,9 +222,11 @@
         let newer = theirs.as_of > own.as_of || theirs.version > own.version;
         let older = theirs.as_of < own.as_of || theirs.version < own.version;
         let reads_platform = self.watching && self.platform_answer_age(now) < duty::STALE_AFTER;
-        // The platform may have lost the newer configuration.
-        let is_wanted = newer && (!reads_platform || theirs.version > own.version);
-        if older && theirs.as_of > 0 {
+        // A platform that was restored may have lost the newer configuration, and does not tell what
+        // changed since a revision of an earlier era.
+        let is_needed = theirs.version > own.version || theirs.as_of.era > own.as_of.era;
+        let is_wanted = newer && (is_needed || !reads_platform);
+        if older && theirs.as_of > catalog::Revision::NONE {
             self.send_changes(now, theirs, vec![from]);
         }
         if is_wanted {
@@ -318,7 +325,7 @@
         let before = self.registry.position();
         let generation = self.registry.generation;
         let changes = self.registry.apply(now, delta, now.before(age));
-        let had_data = before.as_of > 0;
+        let had_data = before.as_of > catalog::Revision::NONE;
         if had_data {
             self.log_registry_changes(changes, from);
         } else {
--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -5,6 +5,9 @@
 //! platform is unreachable may only have lapsed: its target continues to get new flows for a short
 //! grace period, in which a living target registers again. A removed target is kept for as long as
 //! its flows may live, since a target that lost its registration may still serve them.
+//!
+//! If the platform was restored from a copy, the copy lacks registrations that were made since. They
+//! have the same grace period.
 
 use std::collections::HashMap;
 
@@ -36,7 +39,7 @@
     /// State of its registration.
     pub status: Status,
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: catalog::Revision,
 }
 
 /// State of a registration.
@@ -60,7 +63,9 @@
     /// The registry data is confirmed again after an outage of this length.
     Confirmed(time::Duration),
     /// All data was read as of this revision, which is below the one that is known.
-    Outdated(u64),
+    Outdated(catalog::Revision),
+    /// The platform was restored from a copy; the data reached to this revision before.
+    Restored(catalog::Revision),
     /// The status, state or start of a target changed.
     Target(key::Target),
 }
@@ -69,7 +74,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     /// Revision up to which all changes are known.
-    pub as_of: u64,
+    pub as_of: catalog::Revision,
     /// The configuration in force.
     pub config: Option<catalog::Config>,
     /// When the data was last known to be current.
@@ -81,7 +86,7 @@
     /// Known targets, including removed ones that are still kept.
     pub targets: arena::Arena<key::Target, Record>,
     /// Removals up to this revision may no longer be recorded.
-    compacted_revision: u64,
+    compacted_revision: catalog::Revision,
     grace_until: time::Instant,
     keys: HashMap<key::Id, key::Target>,
 }
@@ -116,7 +121,7 @@
 
     /// Whether the data suffices for the placement of new flows.
     pub fn is_complete(&self) -> bool {
-        self.config.is_some() && self.as_of > 0
+        self.config.is_some() && self.as_of > catalog::Revision::NONE
     }
 
     /// Whether the last outage is long enough ago that a missing registration shows that its target
@@ -133,7 +138,8 @@
 
     /// Whether changes follow on what is known, so that nothing in between is missing.
     pub fn continues(&self, delta: &catalog::Delta) -> bool {
-        delta.full || delta.since <= self.as_of
+        let same_era = delta.since.era == self.as_of.era;
+        delta.full || (delta.is_gapless() && same_era && delta.since <= self.as_of)
     }
 
     /// The key of the target with an identifier.
@@ -146,7 +152,7 @@
     pub fn confirm(
         &mut self,
         now: time::Instant,
-        as_of: u64,
+        as_of: catalog::Revision,
         current_at: time::Instant,
     ) -> Option<Change> {
         if as_of > self.as_of || self.confirmed_at.is_some_and(|before| before >= current_at) {
@@ -174,10 +180,17 @@
             self.generation += 1;
             self.config = Some(config.clone());
         }
-        if self.continues(delta) && delta.as_of >= self.as_of {
-            // Starts the grace period after an outage, on which the removals below depend.
-            self.as_of = delta.as_of;
+        if !self.continues(delta) {
+            return changes;
+        }
+        if delta.as_of >= self.as_of {
+            let before = std::mem::replace(&mut self.as_of, delta.as_of);
+            // A grace period has to start before the removals below, which depend on it.
             changes.extend(self.confirm(now, delta.as_of, current_at));
+            if before > catalog::Revision::NONE && before.era < delta.as_of.era {
+                self.grace_until = now + LAPSE_GRACE;
+                changes.push(Change::Restored(before));
+            }
             if delta.full {
                 self.remove_unlisted(now, delta, &mut changes);
                 self.compacted_revision = delta.as_of;
@@ -221,7 +234,7 @@
     /// by its version, since it may arrive under any revision.
     pub fn delta_since(&self, position: catalog::Position) -> catalog::Delta {
         let since = position.as_of;
-        let full = since < self.compacted_revision || since == 0;
+        let full = since < self.compacted_revision || since == catalog::Revision::NONE;
         let entries = self
             .targets
             .iter()
@@ -243,7 +256,7 @@
                 .clone()
                 .filter(|config| config.version > position.version),
             entries,
-            since: if full { 0 } else { since },
+            since: if full { catalog::Revision::NONE } else { since },
             full,
         }
     }
--- a/lib/src/coordination/cookie/report.rs
+++ b/lib/src/coordination/cookie/report.rs
@@ -2,7 +2,7 @@
 
 use crate::coordination::cookie::evidence;
 use crate::coordination::load;
-use crate::state::{flow, key, segment, snapshot, time};
+use crate::state::{catalog, flow, key, segment, snapshot, time};
 
 /// Why a decision was made, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -95,7 +95,7 @@
     /// Age of the registry data when the snapshot was published.
     pub age: time::Duration,
     /// Revision of the registry data.
-    pub as_of: u64,
+    pub as_of: catalog::Revision,
     /// When it was made.
     pub at: time::Instant,
     /// Why.
--- a/lib/src/state/catalog.rs
+++ b/lib/src/state/catalog.rs
@@ -3,6 +3,11 @@
 //! Every registration carries the revision of its last change, and the configuration a version.
 //! Revisions come from a single counter of the platform. Data from the platform and from other
 //! instances can therefore be merged by keeping the higher revision of each item.
+//!
+//! A platform that is restored from a copy loses its latest changes and gives their revisions out
+//! again. It then begins a new era, and a revision of a later era is higher than any of an earlier
+//! one. Nothing can be said of the changes between revisions of two eras, so what is known of one
+//! era is compared with a full read of the next.
 
 use std::net::SocketAddrV4;
 
@@ -11,6 +16,22 @@
 
 use crate::state::key;
 
+/// A position in the platform's history of changes.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Revision {
+    /// Number of times that the platform was restored from a copy.
+    pub era: u64,
+    /// Number of the change, ascending within an era.
+    pub number: u64,
+}
+
+impl Revision {
+    /// The revision before any data.
+    pub const NONE: Self = Self { era: 0, number: 0 };
+}
+
 /// How often a request of a route may be executed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Idempotency {
@@ -112,14 +133,14 @@
     /// Content of the registration.
     pub presence: Presence,
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// How far registry data reaches.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Position {
-    /// Revision up to which all changes of registrations are known, zero without data.
-    pub as_of: u64,
+    /// Revision up to which all changes of registrations are known.
+    pub as_of: Revision,
     /// Version of the configuration, zero without one.
     pub version: u64,
 }
@@ -128,18 +149,23 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Delta {
     /// Revision after the changes.
-    pub as_of: u64,
+    pub as_of: Revision,
     /// The configuration, if the receiver may have an older version.
     pub config: Option<Config>,
     /// Registrations that changed.
     pub entries: Vec<Registration>,
     /// Revision before the changes.
-    pub since: u64,
+    pub since: Revision,
     /// Whether `entries` lists all registrations. A registration that is not listed is removed.
     pub full: bool,
 }
 
 impl Delta {
+    /// Whether nothing is missing between its revisions. Those of two eras have no common history.
+    pub fn is_gapless(&self) -> bool {
+        self.full || self.since.era == self.as_of.era
+    }
+
     /// Number of changed registrations and routes.
     pub fn item_count(&self) -> usize {
         let routes = self.config.as_ref().map_or(0, |config| config.routes.len());
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -147,7 +147,7 @@
     /// Age of the registry data at publication.
     pub age: time::Duration,
     /// Revision of the registry data.
-    pub as_of: u64,
+    pub as_of: catalog::Revision,
     /// Targets by cookie.
     pub cookies: Arc<HashMap<Cookie, key::Target>>,
     /// Whether the registry data was confirmed recently.
--- a/lib/src/transport/cookie/adapter.rs
+++ b/lib/src/transport/cookie/adapter.rs
@@ -21,13 +21,11 @@
 pub struct Update {
     /// Changed registry data.
     pub delta: catalog::Delta,
-    /// Number of times that the platform lost part of its history.
-    pub era: u64,
     /// Values that could not be parsed, for the log.
     pub faults: Vec<String>,
 }
 
-/// Reads the changes after a revision, or all registry data if the revision is zero. Waits for a
-/// change for a limited time. Errors are `PlatformUnreachable`, `PlatformAnswer` and
+/// Reads the changes after a revision, or all registry data without one. Waits for a change for a
+/// limited time. The answer to a revision may be of a later era. Errors are `PlatformUnreachable`, `PlatformAnswer` and
 /// `PlatformHistory`.
-pub type Source = Box<dyn FnMut(u64) -> fault::Result<Update> + Send>;
+pub type Source = Box<dyn FnMut(Option<catalog::Revision>) -> fault::Result<Update> + Send>;
--- a/lib/src/transport/cookie/control.rs
+++ b/lib/src/transport/cookie/control.rs
@@ -4,9 +4,9 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam_channel::{Receiver, Sender};
 use hdrhistogram::Histogram;
 
@@ -65,8 +65,6 @@
     pub fetch_requests: Sender<(SocketAddr, catalog::Position)>,
     /// Log.
     pub log: slog::Logger,
-    /// Revision from which the platform watch continues.
-    pub revision: Arc<AtomicU64>,
     /// Keys that authenticate frames.
     pub keyring: wire::Keyring,
     /// Settings in force.
@@ -81,12 +79,12 @@
     pub traffic_commands: Vec<Sender<traffic::Command>>,
     /// Turns the platform watch on or off.
     pub watch: Sender<bool>,
+    /// Revision from which the platform watch continues; none if it has to read everything.
+    pub watched_from: Arc<ArcSwapOption<catalog::Revision>>,
 }
 
 struct Worker {
     parts: Parts,
-    /// Era of the platform's last answer.
-    platform_era: Option<u64>,
     settings_text: String,
     started: time::Instant,
     stop_at: Option<time::Instant>,
@@ -102,7 +100,6 @@
     let mut worker = Worker {
         settings_text: files::read(&parts.settings_file).unwrap_or_default(),
         parts,
-        platform_era: None,
         started,
         stop_at: None,
         stopped: false,
@@ -207,14 +204,7 @@
     ) {
         self.count(count::Counter::PlatformCall, 1);
         match outcome {
-            Ok(Some(adapter::Update { delta, era, faults })) => {
-                if let Some(former) = self
-                    .platform_era
-                    .replace(era)
-                    .filter(|former| *former != era)
-                {
-                    event_log::restored(&self.parts.log, era, former, delta.as_of);
-                }
+            Ok(Some(adapter::Update { delta, faults })) => {
                 for fault in faults {
                     slog::error!(self.parts.log, "published fact not understood"; "why" => fault);
                 }
@@ -233,8 +223,10 @@
     }
 
     fn update_watch_revision(&self) {
-        let as_of = self.parts.controller.registry.as_of;
-        self.parts.revision.store(as_of, Ordering::Relaxed);
+        let from = self.parts.controller.watched_from();
+        if self.parts.watched_from.load().as_deref().copied() != from {
+            self.parts.watched_from.store(from.map(Arc::new));
+        }
     }
 
     fn begin_stop(&mut self, now: time::Instant) {
@@ -332,8 +324,9 @@
     fn update_readiness(&self) {
         let ready = self.parts.controller.is_ready();
         if self.parts.ready.swap(ready, Ordering::Relaxed) != ready {
+            let as_of = self.parts.controller.registry.as_of;
             slog::info!(self.parts.log, "readiness"; "ready" => ready,
-                "as_of" => self.parts.controller.registry.as_of);
+                "as_of" => as_of.number, "era" => as_of.era);
         }
     }
 
--- a/lib/src/transport/cookie/event_log.rs
+++ b/lib/src/transport/cookie/event_log.rs
@@ -40,7 +40,8 @@
         "waiting" => decision.load.waiting,
         "cookie" => format!("{:08x}", decision.segment.cookie.0),
         "copies" => decision.segment.retransmissions,
-        "as_of" => decision.as_of,
+        "as_of" => decision.as_of.number,
+        "era" => decision.as_of.era,
         "version" => decision.version,
         "age_ms" => millis(decision.age));
 }
@@ -61,13 +62,14 @@
         controller::Event::Registry(change, from) => registry(log, controller, now, change, *from),
         controller::Event::Loaded(targets, from) => {
             let as_of = controller.registry.as_of;
-            slog::info!(log, "first facts"; "targets" => targets, "as_of" => as_of,
-                "version" => controller.registry.version(), "from" => origin_name(*from));
+            slog::info!(log, "first facts"; "targets" => targets, "as_of" => as_of.number,
+                "era" => as_of.era, "version" => controller.registry.version(), "from" => origin_name(*from));
         }
         controller::Event::Peer(change) => peer(log, controller, now, change),
         controller::Event::PlatformReachable(reachable) => {
             let as_of = controller.registry.as_of;
-            slog::info!(log, "platform"; "reachable" => reachable, "as_of" => as_of);
+            slog::info!(log, "platform"; "reachable" => reachable, "as_of" => as_of.number,
+                "era" => as_of.era);
         }
         controller::Event::SuspectZones(zones) => {
             slog::warn!(log, "suspect zones"; "zones" => zones.join(","));
@@ -110,17 +112,23 @@
     let origin = origin_name(origin);
     match change {
         registry::Change::Config(version) => {
-            slog::info!(log, "configuration"; "version" => version, "as_of" => as_of,
-                "age_ms" => age, "from" => origin);
+            slog::info!(log, "configuration"; "version" => version, "as_of" => as_of.number,
+                "era" => as_of.era, "age_ms" => age, "from" => origin);
         }
         registry::Change::Confirmed(gap) => {
             slog::warn!(log, "facts confirmed after an outage"; "gap_ms" => millis(*gap),
-                "as_of" => as_of, "from" => origin);
+                "as_of" => as_of.number, "era" => as_of.era, "from" => origin);
         }
-        registry::Change::Outdated(read_as_of) => {
-            slog::warn!(log, "facts older than known"; "read_as_of" => read_as_of, "as_of" => as_of,
+        registry::Change::Outdated(read) => {
+            slog::warn!(log, "facts older than known"; "read_as_of" => read.number,
+                "read_era" => read.era, "as_of" => as_of.number, "era" => as_of.era,
                 "age_ms" => age, "from" => origin);
         }
+        registry::Change::Restored(former) => {
+            slog::warn!(log, "platform restored"; "as_of" => as_of.number, "era" => as_of.era,
+                "former_as_of" => former.number, "former_era" => former.era, "age_ms" => age,
+                "from" => origin);
+        }
         registry::Change::Target(key) => {
             let Some(record) = controller.registry.targets.get(*key) else {
                 return;
@@ -130,7 +138,7 @@
                 "address" => %record.details.address,
                 "service" => record.details.service.as_str(),
                 "target_zone" => record.details.zone.as_str(),
-                "revision" => record.revision, "age_ms" => age, "from" => origin);
+                "revision" => record.revision.number, "era" => record.revision.era, "age_ms" => age, "from" => origin);
         }
     }
 }
@@ -153,7 +161,8 @@
     if let Some((peer, heartbeat)) = heard {
         slog::info!(log, "peer"; "peer" => heartbeat.name.as_str(), "address" => %peer.address,
             "state" => state, "peer_zone" => peer.zone.as_str(),
-            "silent_ms" => millis(now.since(peer.last_seen)), "as_of" => heartbeat.position.as_of);
+            "silent_ms" => millis(now.since(peer.last_seen)), "as_of" => heartbeat.position.as_of.number,
+            "era" => heartbeat.position.as_of.era);
     }
 }
 
@@ -171,14 +180,9 @@
     let registry = &controller.registry;
     slog::info!(log, "fetched"; "from" => %from, "entries" => delta.entries.len(),
         "brought_version" => delta.config.as_ref().map(|config| config.version),
-        "brought_as_of" => delta.as_of, "full" => delta.full,
-        "version" => registry.version(), "as_of" => registry.as_of);
-}
-
-/// Logs that the platform lost part of its history.
-pub fn restored(log: &slog::Logger, era: u64, former: u64, as_of: u64) {
-    slog::warn!(log, "platform restored"; "era" => era, "former_era" => former,
-        "platform_as_of" => as_of);
+        "brought_as_of" => delta.as_of.number, "brought_era" => delta.as_of.era,
+        "full" => delta.full, "version" => registry.version(), "as_of" => registry.as_of.number,
+        "era" => registry.as_of.era);
 }
 
 /// Logs a failed call to the platform.
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -3,9 +3,9 @@
 use std::net::{TcpListener, UdpSocket};
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::coordination::burn;
@@ -50,7 +50,7 @@
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
     let ready = Arc::new(AtomicBool::new(false));
     let burn = Arc::new(ArcSwap::from_pointee(burn::Report::default()));
-    let revision = Arc::new(AtomicU64::new(0));
+    let watched_from = Arc::new(ArcSwapOption::empty());
     let mut random = random::Source::new(seed);
     let incarnation = random.below(usize::MAX) as u64;
 
@@ -91,7 +91,7 @@
         source,
         clock,
         random.below(usize::MAX) as u64,
-        &revision,
+        &watched_from,
         &events,
     )?;
     serve_pages(
@@ -119,7 +119,7 @@
         fetch_requests,
         ready,
         log,
-        revision,
+        watched_from,
         keyring: settings.keyring.clone(),
         settings: settings.clone(),
         settings_file: settings_file.to_owned(),
@@ -206,25 +206,23 @@
     mut source: adapter::Source,
     clock: clock::Clock,
     seed: u64,
-    revision: &Arc<AtomicU64>,
+    watched_from: &Arc<ArcSwapOption<catalog::Revision>>,
     events: &Sender<control::Event>,
 ) -> fault::Result<Sender<bool>> {
     let (watch, enabled): (Sender<bool>, Receiver<bool>) = bounded(COMMAND_QUEUE_CAPACITY);
-    let (revision, events) = (Arc::clone(revision), events.clone());
+    let (watched_from, events) = (Arc::clone(watched_from), events.clone());
     let mut lost_history = false;
     let poll = move || {
-        let since = if lost_history {
-            0
-        } else {
-            revision.load(Ordering::Relaxed)
-        };
+        let since = watched_from.load().as_deref().copied();
+        let since = since.filter(|_| !lost_history);
         let update = source(since);
         lost_history = match &update {
-            Ok(_) => false,
+            Ok(update) => !update.delta.is_gapless(),
             Err(report) => lost_history || fault::code(report) == code::Code::PlatformHistory,
         };
         update.map(|update| watch::Response {
-            changed: since > 0 && update.delta.as_of > since,
+            // A full read must follow at once on an answer with a gap.
+            changed: !lost_history && since.is_some_and(|since| update.delta.as_of > since),
             update: Some(update),
         })
     };
--- a/lib/tests/cookie_fleet.rs
+++ b/lib/tests/cookie_fleet.rs
@@ -28,12 +28,16 @@
     time::Instant::from_millis(3_600_000 + millis)
 }
 
+fn revision(number: u64) -> catalog::Revision {
+    catalog::Revision { era: 1, number }
+}
+
 fn address(number: usize) -> SocketAddr {
     let [.., high, low] = number.to_be_bytes();
     SocketAddr::from(([10, 0, high, low], 7720))
 }
 
-fn registration(id: u64, zones: u64, revision: u64) -> catalog::Registration {
+fn registration(id: u64, zones: u64, number: u64) -> catalog::Registration {
     let details = catalog::Target {
         address: SocketAddrV4::new(Ipv4Addr::new(10, 9, (id >> 8) as u8, id as u8), 80),
         cold_ms: 0,
@@ -46,7 +50,7 @@
     catalog::Registration {
         id: key::Id(id.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         presence: catalog::Presence::Present(details),
-        revision,
+        revision: revision(number),
     }
 }
 
@@ -219,32 +223,33 @@
         self.deliver(to);
     }
 
-    fn answer(&mut self, to: usize, revision: Option<u64>) {
+    fn answer(&mut self, to: usize, number: Option<u64>) {
         let now = at(self.now);
-        let Some(revision) = revision else {
+        let Some(number) = number else {
             self.calls_failed += 1;
             self.instances[to].on_platform_failed(now);
             self.push(BACKOFF_MS, Event::Platform(to));
             return;
         };
         let since = self.instances[to].registry.as_of;
-        let first = if since == 0 { 1 } else { self.targets };
-        self.reads += usize::from(since == 0);
-        let changed = since < revision;
+        let full = since == catalog::Revision::NONE;
+        let first = if full { 1 } else { self.targets };
+        self.reads += usize::from(full);
+        let changed = since < revision(number);
         let entries = (first..=self.targets).filter(|_| changed);
         let delta = catalog::Delta {
-            as_of: revision,
-            config: (since == 0).then(|| catalog::Config {
+            as_of: revision(number),
+            config: full.then(|| catalog::Config {
                 idle_timeout_ms: 15_000,
                 routes: Vec::new(),
                 services: Vec::new(),
                 version: 1,
             }),
             entries: entries
-                .map(|id| registration(id, self.zones, revision))
+                .map(|id| registration(id, self.zones, number))
                 .collect(),
             since,
-            full: since == 0,
+            full,
         };
         let origin = controller::Origin::Platform;
         self.instances[to].on_delta(now, &delta, time::Duration::ZERO, origin);
@@ -385,7 +390,11 @@
         fleet.run(8_000, |_| Some(4));
         assert_eq!(fleet.watchers(), 2, "{count} instances");
         fleet.run(1_000, |_| Some(9));
-        assert!(fleet.living().all(|found| found.registry.as_of == 9));
+        assert!(
+            fleet
+                .living()
+                .all(|found| found.registry.as_of == revision(9))
+        );
     }
 }
 
@@ -396,7 +405,11 @@
     let refused: Vec<bool> = fleet.living().map(|found| found.watching).collect();
     fleet.run(3_000, |index| (!refused[index]).then_some(9));
     // A change must be in force within three seconds.
-    assert!(fleet.living().all(|found| found.registry.as_of == 9));
+    assert!(
+        fleet
+            .living()
+            .all(|found| found.registry.as_of == revision(9))
+    );
 }
 
 /// A third of the instances, the first in rank among them, are turned away while the others could
@@ -409,7 +422,11 @@
     fleet.run(6_000, |index| {
         (!watching[index] && index % 3 > 0).then_some(9)
     });
-    assert!(fleet.living().all(|found| found.registry.as_of == 9));
+    assert!(
+        fleet
+            .living()
+            .all(|found| found.registry.as_of == revision(9))
+    );
 }
 
 #[test]
@@ -450,13 +467,13 @@
     let mut fleet = Fleet::new(1, 1, 1);
     fleet.run(1_000, |_| Some(4));
     let delta = catalog::Delta {
-        as_of: 6,
+        as_of: revision(6),
         entries: vec![catalog::Registration {
             presence: catalog::Presence::Removed,
-            revision: 6,
+            revision: revision(6),
             ..registration(1, 1, 6)
         }],
-        since: 4,
+        since: revision(4),
         ..catalog::Delta::default()
     };
     let now = at(fleet.now);
@@ -551,10 +568,16 @@
     let mut fleet = Fleet::new(300, 6, 600);
     fleet.run(8_000, |_| Some(4));
     fleet.run(WATCH_MS + 2 * FETCH_MS, |_| Some(9));
-    let reached = fleet.living().filter(|found| found.registry.as_of == 9);
+    let reached = fleet
+        .living()
+        .filter(|found| found.registry.as_of == revision(9));
     assert!(reached.count() >= 270);
     fleet.run(1_000, |_| Some(9));
-    assert!(fleet.living().all(|found| found.registry.as_of == 9));
+    assert!(
+        fleet
+            .living()
+            .all(|found| found.registry.as_of == revision(9))
+    );
 }
 
 /// Every instance called a platform that was down, once a second.
@@ -565,7 +588,11 @@
     fleet.run(10_000, |_| None);
     assert!(fleet.calls_failed < 600, "{}", fleet.calls_failed);
     fleet.run(4_000, |_| Some(9));
-    assert!(fleet.living().all(|found| found.registry.as_of == 9));
+    assert!(
+        fleet
+            .living()
+            .all(|found| found.registry.as_of == revision(9))
+    );
 }
 
 #[test]
@@ -618,7 +645,9 @@
         }
         fleet.run(3_000, |_| Some(9));
         assert!(
-            fleet.living().all(|found| found.registry.as_of == 9),
+            fleet
+                .living()
+                .all(|found| found.registry.as_of == revision(9)),
             "{count}"
         );
     }
--- a/lib/tests/cookie_forward.rs
+++ b/lib/tests/cookie_forward.rs
@@ -53,7 +53,7 @@
             service_history: vec![BOARD],
         };
         let mut snapshot = snapshot::Snapshot {
-            as_of: 1,
+            as_of: catalog::Revision { era: 1, number: 1 },
             fresh: true,
             generation: 1,
             routes: Arc::new(HashMap::from([(route_address(), route)])),
--- a/lib/tests/cookie_journal.rs
+++ b/lib/tests/cookie_journal.rs
@@ -33,6 +33,10 @@
     SocketAddr::from((Ipv4Addr::new(10, 1, 0, host), 7_720))
 }
 
+fn revision(number: u64) -> catalog::Revision {
+    catalog::Revision { era: 1, number }
+}
+
 /// A full delta with a configuration and one target.
 fn delta() -> catalog::Delta {
     let target = catalog::Target {
@@ -53,13 +57,13 @@
     let entry = catalog::Registration {
         id: key::Id(0xb5a9),
         presence: catalog::Presence::Present(target),
-        revision: 22,
+        revision: revision(22),
     };
     catalog::Delta {
-        as_of: 23,
+        as_of: revision(23),
         config: Some(config),
         entries: vec![entry],
-        since: 0,
+        since: catalog::Revision::NONE,
         full: true,
     }
 }
@@ -87,7 +91,7 @@
     };
     report::Decision {
         age: time::Duration::from_millis(12),
-        as_of: 23,
+        as_of: revision(23),
         at: at(40),
         cause: report::Cause::Unanswered,
         flow: hash::flow_key(hash::Secret::default(), &segment.tuple()),
@@ -128,17 +132,17 @@
         controller::Origin::Platform,
     );
     let changed = catalog::Delta {
-        as_of: 24,
+        as_of: revision(24),
         entries: delta()
             .entries
             .into_iter()
             .map(|entry| catalog::Registration {
                 presence: catalog::Presence::Removed,
-                revision: 24,
+                revision: revision(24),
                 ..entry
             })
             .collect(),
-        since: 23,
+        since: revision(23),
         ..catalog::Delta::default()
     };
     let origin = controller::Origin::Platform;
--- a/lib/tests/cookie_property.rs
+++ b/lib/tests/cookie_property.rs
@@ -93,7 +93,7 @@
         },
     )]);
     snapshot::Snapshot {
-        as_of: 1,
+        as_of: catalog::Revision { era: 1, number: 1 },
         cookies: Arc::new(cookies),
         fresh: true,
         generation: 1,
--- a/lib/tests/cookie_registry.rs
+++ b/lib/tests/cookie_registry.rs
@@ -9,6 +9,10 @@
     time::Instant::from_millis(3_600_000 + millis)
 }
 
+fn revision(number: u64) -> catalog::Revision {
+    catalog::Revision { era: 1, number }
+}
+
 fn details(state: catalog::State) -> catalog::Target {
     catalog::Target {
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
@@ -21,18 +25,18 @@
     }
 }
 
-fn entry(id: u64, revision: u64, presence: catalog::Presence) -> catalog::Registration {
+fn entry(id: u64, number: u64, presence: catalog::Presence) -> catalog::Registration {
     catalog::Registration {
         id: key::Id(id),
         presence,
-        revision,
+        revision: revision(number),
     }
 }
 
-fn present(id: u64, revision: u64) -> catalog::Registration {
+fn present(id: u64, number: u64) -> catalog::Registration {
     entry(
         id,
-        revision,
+        number,
         catalog::Presence::Present(details(catalog::State::Active)),
     )
 }
@@ -48,26 +52,29 @@
 
 fn full_delta(as_of: u64, version: u64, entries: Vec<catalog::Registration>) -> catalog::Delta {
     catalog::Delta {
-        as_of,
+        as_of: revision(as_of),
         config: Some(config(version)),
         entries,
-        since: 0,
+        since: catalog::Revision::NONE,
         full: true,
     }
 }
 
 fn partial_delta(since: u64, as_of: u64, entries: Vec<catalog::Registration>) -> catalog::Delta {
     catalog::Delta {
-        as_of,
+        as_of: revision(as_of),
         config: None,
         entries,
-        since,
+        since: revision(since),
         full: false,
     }
 }
 
 fn position(as_of: u64, version: u64) -> catalog::Position {
-    catalog::Position { as_of, version }
+    catalog::Position {
+        as_of: revision(as_of),
+        version,
+    }
 }
 
 fn status(registry: &registry::Registry, id: u64) -> Option<registry::Status> {
@@ -86,7 +93,7 @@
 fn a_lower_version_or_revision_never_replaces_a_higher_one() {
     let mut registry = loaded_registry();
     registry.apply(at(10), &full_delta(2, 2, vec![]), at(10));
-    assert_eq!((registry.version(), registry.as_of), (3, 5));
+    assert_eq!((registry.version(), registry.as_of), (3, revision(5)));
     assert_eq!(status(&registry, 1), Some(registry::Status::Present));
     let old = entry(1, 3, catalog::Presence::Removed);
     registry.apply(at(20), &partial_delta(5, 6, vec![old]), at(20));
@@ -191,6 +198,66 @@
     assert_eq!(version(position(5, 6)), None);
 }
 
+/// Data that the platform, restored from a copy, has at a revision that was known before.
+fn restored(number: u64, entries: Vec<catalog::Registration>) -> catalog::Delta {
+    let in_new_era = |revision: catalog::Revision| catalog::Revision { era: 2, ..revision };
+    let entries = entries.into_iter().map(|entry| catalog::Registration {
+        revision: in_new_era(entry.revision),
+        ..entry
+    });
+    catalog::Delta {
+        as_of: in_new_era(revision(number)),
+        ..full_delta(number, 2, entries.collect())
+    }
+}
+
+// Guards against data that is refused as older because a restored platform gave out again revisions
+// that were known.
+#[test]
+fn a_restored_platform_is_followed_from_a_lower_revision() {
+    let mut registry = loaded_registry();
+    let delta = restored(4, vec![present(1, 3), present(3, 4)]);
+    let changes = registry.apply(at(500), &delta, at(500));
+    assert!(changes.contains(&registry::Change::Restored(revision(5))));
+    assert_eq!((registry.version(), registry.as_of), (3, delta.as_of));
+    assert_eq!(status(&registry, 3), Some(registry::Status::Present));
+    assert_eq!(
+        registry.age(at(600)),
+        Some(time::Duration::from_millis(100))
+    );
+}
+
+// Guards against a watch that goes on from a revision of the lost history and misses what was
+// written again under lower revisions.
+#[test]
+fn changes_since_a_revision_of_an_earlier_era_are_not_taken_for_complete() {
+    let mut registry = loaded_registry();
+    let answer = catalog::Delta {
+        as_of: catalog::Revision { era: 2, number: 9 },
+        ..partial_delta(5, 9, vec![present(3, 9)])
+    };
+    assert!(!answer.is_gapless());
+    registry.apply(at(500), &answer, at(500));
+    assert_eq!((status(&registry, 3), registry.as_of), (None, revision(5)));
+    // Nor does an instance that was left behind bring back what it knows.
+    registry.apply(at(600), &restored(4, vec![present(1, 3)]), at(600));
+    let before = registry.as_of;
+    registry.apply(at(700), &partial_delta(5, 8, vec![present(7, 8)]), at(700));
+    assert_eq!((status(&registry, 7), registry.as_of), (None, before));
+    assert!(registry.delta_since(position(5, 3)).full);
+}
+
+// Guards against taking a target for ended whose registration was made after the copy.
+#[test]
+fn a_registration_that_a_copy_lacks_has_a_grace_period() {
+    let mut registry = loaded_registry();
+    registry.apply(at(500), &restored(4, vec![present(1, 3)]), at(500));
+    assert_eq!(status(&registry, 2), Some(registry::Status::Lapsed));
+    assert!(!registry.is_removal_conclusive(at(4_000)));
+    registry.tick(at(2_800));
+    assert_eq!(status(&registry, 2), Some(registry::Status::Removed));
+}
+
 #[test]
 fn cookies_of_many_targets_differ() {
     let mut seen = std::collections::HashSet::new();
--- a/testutils/src/overload.rs
+++ b/testutils/src/overload.rs
@@ -550,7 +550,7 @@
         service_history: vec![SERVICE],
     };
     snapshot::Snapshot {
-        as_of: 1,
+        as_of: catalog::Revision { era: 1, number: 1 },
         cookies: Arc::new(cookies.collect()),
         fresh: true,
         pools: Arc::new(vec![snapshot::Pool::new(local, others)]),
