--- a/lib/src/coordination/cookie/controller.rs
+++ b/lib/src/coordination/cookie/controller.rs
@@ -26,6 +26,9 @@
 /// Largest number of items that an announcement carries; more are fetched.
 const MAX_ANNOUNCED_ITEMS: usize = 16;
 
+/// Largest number of held targets that a heartbeat names.
+const MAX_HOLDS: usize = 16;
+
 /// Settings of an instance that stay the same while the process runs.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -35,6 +38,8 @@
     pub incarnation: u64,
     /// Name of the instance.
     pub name: CompactString,
+    /// Time between two writes of a target to its registration.
+    pub write_interval: time::Duration,
     /// Zone of the instance.
     pub zone: CompactString,
 }
@@ -137,7 +142,7 @@
         now: time::Instant,
     ) -> Self {
         Self {
-            registry: registry::Registry::default(),
+            registry: registry::Registry::new(config.write_interval),
             burn: BTreeMap::new(),
             platform_answered_at: None,
             duty: duty::Duty::new(now),
@@ -246,6 +251,11 @@
             let change = self.registry.confirm(now, self.registry.as_of, current_at);
             self.log_registry_changes(change.into_iter().collect(), Origin::Peer(from));
         }
+        let changes = self.registry.apply_holds(now, &news.holds);
+        if !changes.is_empty() {
+            self.log_registry_changes(changes, Origin::Peer(from));
+            self.publish(now);
+        }
     }
 
     /// Takes in which instances watch the platform.
@@ -355,7 +365,7 @@
 
     /// Sends the changes after a position, or only tells that there are changes if they are many.
     fn send_changes(&mut self, now: time::Instant, since: catalog::Position, to: Vec<SocketAddr>) {
-        let delta = self.registry.delta_since(since);
+        let delta = self.registry.delta_since(now, since);
         let small = !delta.full && delta.item_count() <= MAX_ANNOUNCED_ITEMS;
         let heartbeat = heartbeat::Heartbeat {
             delta: small.then_some(delta),
@@ -419,7 +429,7 @@
         since: catalog::Position,
     ) -> (catalog::Delta, u32) {
         let age = self.registry.age(now).unwrap_or(time::Duration::MAX);
-        (self.registry.delta_since(since), time::millis(age))
+        (self.registry.delta_since(now, since), time::millis(age))
     }
 
     /// Runs the periodic work: expiry of targets, peers and fetches, the decision to watch, samples
@@ -561,6 +571,8 @@
         if audience != Audience::OtherZones {
             zones.extend(self.peers.zones(now));
         }
+        let holds = self.registry.holds(now);
+        let holds = random::sample(holds, MAX_HOLDS, &mut self.random);
         let zone = &self.config.zone;
         let peers = self.peers.advertised(now, zone, &zones, &mut self.random);
         self.sequence += 1;
@@ -572,6 +584,7 @@
                 .filter(|_| self.watching)
                 .map(|platform_answered_at| time::millis(now.since(platform_answered_at))),
             delta: None,
+            holds,
             incarnation: self.config.incarnation,
             instances: u16::try_from(self.peers.instance_count()).unwrap_or(u16::MAX),
             leaving: self.leaving,
--- a/lib/src/coordination/cookie/heartbeat.rs
+++ b/lib/src/coordination/cookie/heartbeat.rs
@@ -91,6 +91,8 @@
     pub contact_ms: Option<u32>,
     /// The latest changes of the registry, if this heartbeat announces them.
     pub delta: Option<catalog::Delta>,
+    /// Some of the registrations that the sender knows to be those of targets that have left.
+    pub holds: Vec<catalog::Hold>,
     /// Number of the sender's process, drawn at random.
     pub incarnation: u64,
     /// Number of instances that the sender knows, itself included.
--- a/lib/src/coordination/cookie/news.rs
+++ b/lib/src/coordination/cookie/news.rs
@@ -13,6 +13,8 @@
     pub current_at: Option<time::Instant>,
     /// Whether it answers a question about targets.
     pub has_progress: bool,
+    /// Registrations that must not be used yet.
+    pub holds: Vec<catalog::Hold>,
     /// Whether the sender is about to stop.
     pub leaving: bool,
     /// Whether all registry data may be fetched from the sender.
@@ -44,6 +46,7 @@
             candidates: candidates.collect(),
             current_at: heartbeat.age_ms.map(before),
             has_progress: !heartbeat.progress.is_empty(),
+            holds: std::mem::take(&mut heartbeat.holds),
             leaving: heartbeat.leaving,
             offers: heartbeat.offers,
             position: heartbeat.position,
--- a/lib/src/coordination/cookie/peers.rs
+++ b/lib/src/coordination/cookie/peers.rs
@@ -363,7 +363,7 @@
             Vec::new()
         };
         Receivers {
-            own_zone: sample(own_zone, ANNOUNCE_FANOUT, random),
+            own_zone: random::sample(own_zone, ANNOUNCE_FANOUT, random),
             others,
         }
     }
@@ -379,7 +379,11 @@
         let mut others = Vec::new();
         for zone in zones.iter().filter(|zone| **zone != self.own_zone) {
             let contacts = self.contacts(zone);
-            others.extend(sample(contacts, HEARTBEATS_PER_ZONE as usize, random));
+            others.extend(random::sample(
+                contacts,
+                HEARTBEATS_PER_ZONE as usize,
+                random,
+            ));
         }
         Receivers { own_zone, others }
     }
@@ -387,7 +391,7 @@
     /// Receivers of the request for registry data of an instance that has none.
     pub fn request_receivers(&self, random: &mut random::Source) -> Vec<SocketAddr> {
         let own_zone = self.own_zone().map(|peer| peer.address).collect();
-        let mut receivers = sample(own_zone, NEIGHBORS_PER_HEARTBEAT, random);
+        let mut receivers = random::sample(own_zone, NEIGHBORS_PER_HEARTBEAT, random);
         receivers.extend(self.seeds.iter().copied());
         receivers.sort();
         receivers.dedup();
@@ -418,9 +422,9 @@
         let (own_zone, others): (Vec<&Peer>, Vec<&Peer>) = current
             .map(|(_, peer)| peer)
             .partition(|peer| peer.zone == to_zone);
-        sample(own_zone, ADVERTISED_OWN_ZONE, random)
+        random::sample(own_zone, ADVERTISED_OWN_ZONE, random)
             .into_iter()
-            .chain(sample(others, ADVERTISED_OTHER_ZONES, random))
+            .chain(random::sample(others, ADVERTISED_OTHER_ZONES, random))
             .filter_map(contact)
             .collect()
     }
@@ -521,7 +525,7 @@
             let whole = share.floor();
             let count = whole as usize + usize::from(random.unit() < share - whole);
             if count > 0 {
-                others.extend(sample(self.contacts(zone), count, random));
+                others.extend(random::sample(self.contacts(zone), count, random));
             }
         }
         others
@@ -659,14 +663,3 @@
 fn before(now: time::Instant, age_ms: u32) -> time::Instant {
     now.before(time::Duration::from_millis(u64::from(age_ms)))
 }
-
-/// A random sample without replacement.
-fn sample<T>(mut from: Vec<T>, count: usize, random: &mut random::Source) -> Vec<T> {
-    let count = count.min(from.len());
-    for index in 0..count {
-        let other = index + random.below(from.len() - index);
-        from.swap(index, other);
-    }
-    from.truncate(count);
-    from
-}
--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -7,7 +7,8 @@
 //! its flows may live, since a target that lost its registration may still serve them.
 //!
 //! If the platform was restored from a copy, the copy lacks registrations that were made since. They
-//! have the same grace period.
+//! have the same grace period. The copy also lists targets that have left since. They are held: they
+//! take no new flows until they register again, or until the platform would have removed them.
 
 use std::collections::HashMap;
 
@@ -20,6 +21,10 @@
 /// Grace period after an outage in which a living target registers again; the platform's
 /// documentation promises about two seconds.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
+/// Intervals without a write after which the platform removes a registration.
+const MISSED_WRITES: u32 = 3;
+/// Time after a restore in which targets reach the platform again.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(2_000);
 /// Time for which a removed target is kept; above the longest life of a flow, 60 s.
 const REMOVED_RETENTION: time::Duration = time::Duration::from_secs(75);
 
@@ -32,6 +37,9 @@
     pub cookie: snapshot::Cookie,
     /// Details of the last registration that could be read.
     pub details: catalog::Target,
+    /// Until when it takes no new flows, because it left after the copy was taken from which the
+    /// platform was restored; none if it is not held.
+    pub held_until: Option<time::Instant>,
     /// Identifier of the target.
     pub id: key::Id,
     /// When its registration vanished or became unreadable; none while it is present.
@@ -55,6 +63,29 @@
     Unreadable,
 }
 
+impl Record {
+    /// What the log tells of changes of.
+    fn summary(&self) -> (Status, catalog::State, u64, bool) {
+        let details = &self.details;
+        let is_held = self.held_until.is_some();
+        (self.status, details.state, details.started_unix_ms, is_held)
+    }
+
+    /// Whether the target has left since it wrote a registration that a restored platform lists.
+    fn has_left_since(&self, listed: &catalog::Presence) -> bool {
+        let catalog::Presence::Present(listed) = listed else {
+            return false;
+        };
+        let known = &self.details;
+        let written = |details: &catalog::Target| (details.started_unix_ms, details.sequence);
+        let is_leaving = known.state == catalog::State::Draining
+            && listed.state == catalog::State::Active
+            && written(listed) < written(known);
+        let is_gone = self.status == Status::Removed || self.held_until.is_some();
+        is_leaving || (is_gone && written(listed) <= written(known))
+    }
+}
+
 /// A change of the registry, for the log.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -66,7 +97,7 @@
     Outdated(catalog::Revision),
     /// The platform was restored from a copy; the data reached to this revision before.
     Restored(catalog::Revision),
-    /// The status, state or start of a target changed.
+    /// The status, state, start or hold of a target changed.
     Target(key::Target),
 }
 
@@ -88,6 +119,8 @@
     /// Removals up to this revision may no longer be recorded.
     compacted_revision: catalog::Revision,
     grace_until: time::Instant,
+    /// Time for which registrations of targets that have left are held.
+    hold_time: time::Duration,
     keys: HashMap<key::Id, key::Target>,
 }
 
@@ -100,6 +133,14 @@
 }
 
 impl Registry {
+    /// A registry without data, for targets that write to their registrations at this interval.
+    pub fn new(write_interval: time::Duration) -> Self {
+        Self {
+            hold_time: write_interval * MISSED_WRITES + RETURN_TIME,
+            ..Self::default()
+        }
+    }
+
     /// Age of the data; none if there was never any.
     pub fn age(&self, now: time::Instant) -> Option<time::Duration> {
         self.confirmed_at
@@ -183,11 +224,13 @@
         if !self.continues(delta) {
             return changes;
         }
+        let mut restored = false;
         if delta.as_of >= self.as_of {
             let before = std::mem::replace(&mut self.as_of, delta.as_of);
             // A grace period has to start before the removals below, which depend on it.
             changes.extend(self.confirm(now, delta.as_of, current_at));
             if before > catalog::Revision::NONE && before.era < delta.as_of.era {
+                restored = true;
                 self.grace_until = now + LAPSE_GRACE;
                 changes.push(Change::Restored(before));
             }
@@ -199,12 +242,48 @@
             changes.push(Change::Outdated(delta.as_of));
         }
         for entry in &delta.entries {
-            changes.extend(self.apply_entry(now, entry).map(Change::Target));
+            changes.extend(self.apply_entry(now, entry, restored).map(Change::Target));
+        }
+        changes.extend(self.apply_holds(now, &delta.holds));
+        changes
+    }
+
+    /// Holds targets that another instance knows to have left; returns the changes.
+    pub fn apply_holds(&mut self, now: time::Instant, holds: &[catalog::Hold]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for hold in holds {
+            let Some(key) = self.find(hold.id) else {
+                continue;
+            };
+            let Some(record) = self.targets.get_mut(key) else {
+                continue;
+            };
+            let until = now + time::Duration::from_millis(u64::from(hold.for_ms));
+            let is_current = record.revision == hold.revision && record.status == Status::Present;
+            if is_current && record.held_until.is_none() {
+                record.held_until = Some(until);
+                self.generation += 1;
+                changes.push(Change::Target(key));
+            }
         }
         changes
     }
 
-    /// Ends the grace period of lapsed targets and drops targets that were removed long enough ago;
+    /// The targets that are held.
+    pub fn holds(&self, now: time::Instant) -> Vec<catalog::Hold> {
+        self.targets
+            .iter()
+            .filter_map(|(_, record)| {
+                Some(catalog::Hold {
+                    for_ms: time::millis(record.held_until?.since(now)),
+                    id: record.id,
+                    revision: record.revision,
+                })
+            })
+            .collect()
+    }
+
+    /// Ends the grace period of lapsed targets and the holds that are over, and drops targets that were removed long enough ago;
     /// returns the changes.
     pub fn tick(&mut self, now: time::Instant) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -215,6 +294,11 @@
                 self.generation += 1;
                 changes.push(Change::Target(key));
             }
+            if record.held_until.is_some_and(|until| now >= until) {
+                record.held_until = None;
+                self.generation += 1;
+                changes.push(Change::Target(key));
+            }
             let missing = record.missing_since;
             if missing.is_some_and(|since| now.since(since) >= REMOVED_RETENTION) {
                 expired.push((key, record.id, record.revision));
@@ -232,7 +316,7 @@
 
     /// All that another instance lacks, whose data reaches to a position. A configuration is known
     /// by its version, since it may arrive under any revision.
-    pub fn delta_since(&self, position: catalog::Position) -> catalog::Delta {
+    pub fn delta_since(&self, now: time::Instant, position: catalog::Position) -> catalog::Delta {
         let since = position.as_of;
         let full = since < self.compacted_revision || since == catalog::Revision::NONE;
         let entries = self
@@ -256,6 +340,7 @@
                 .clone()
                 .filter(|config| config.version > position.version),
             entries,
+            holds: self.holds(now),
             since: if full { catalog::Revision::NONE } else { since },
             full,
         }
@@ -281,19 +366,20 @@
             })
             .collect();
         for entry in &unlisted {
-            changes.extend(self.apply_entry(now, entry).map(Change::Target));
+            changes.extend(self.apply_entry(now, entry, false).map(Change::Target));
         }
     }
 
-    /// Merges one registration; returns the target if it is new or if its status, state or start
-    /// changed.
+    /// Merges one registration, which may be older than what is known if the platform was `restored`;
+    /// returns the target if it is new or if its status, state, start or hold changed.
     fn apply_entry(
         &mut self,
         now: time::Instant,
         entry: &catalog::Registration,
+        restored: bool,
     ) -> Option<key::Target> {
         match self.find(entry.id) {
-            Some(key) => self.update(now, key, entry),
+            Some(key) => self.update(now, key, entry, restored),
             None => self.add(now, entry),
         }
     }
@@ -307,6 +393,7 @@
             cold_until: cold_until(now, details),
             cookie: cookie(entry.id),
             details: details.clone(),
+            held_until: None,
             id: entry.id,
             missing_since: None,
             status: Status::Present,
@@ -323,30 +410,38 @@
         now: time::Instant,
         key: key::Target,
         entry: &catalog::Registration,
+        restored: bool,
     ) -> Option<key::Target> {
         let in_grace = now < self.grace_until;
+        let hold_until = now + self.hold_time;
         let record = self.targets.get_mut(key)?;
         if entry.revision <= record.revision {
             return None;
         }
         record.revision = entry.revision;
         self.generation += 1;
-        let before = (
-            record.status,
-            record.details.state,
-            record.details.started_unix_ms,
-        );
+        let before = record.summary();
+        let has_left = restored && record.has_left_since(&entry.presence);
+        let was_held = record.held_until.is_some();
+        record.held_until = has_left.then_some(hold_until);
         match &entry.presence {
             catalog::Presence::Present(details) => {
-                record.cold_until = cold_until(now, details);
+                let cold_until = cold_until(now, details);
+                let same_start = record.details.started_unix_ms == details.started_unix_ms;
+                record.cold_until = if restored && same_start {
+                    // The registration may be much older than this read of it.
+                    cold_until.min(record.cold_until)
+                } else {
+                    cold_until
+                };
                 record.details = details.clone();
                 record.missing_since = None;
                 record.status = Status::Present;
             }
             catalog::Presence::Removed => {
                 record.missing_since = record.missing_since.or(Some(now));
-                let draining = record.details.state == catalog::State::Draining;
-                record.status = if in_grace && !draining && record.status == Status::Present {
+                let has_left = was_held || record.details.state == catalog::State::Draining;
+                record.status = if in_grace && !has_left && record.status == Status::Present {
                     Status::Lapsed
                 } else {
                     Status::Removed
@@ -357,12 +452,7 @@
                 record.status = Status::Unreadable;
             }
         }
-        let after = (
-            record.status,
-            record.details.state,
-            record.details.started_unix_ms,
-        );
-        (before != after).then_some(key)
+        (before != record.summary()).then_some(key)
     }
 }
 
--- a/lib/src/coordination/cookie/snapshot_builder.rs
+++ b/lib/src/coordination/cookie/snapshot_builder.rs
@@ -370,7 +370,9 @@
 ) -> snapshot::Eligibility {
     let gone_for = record.missing_since.map(|since| now.since(since));
     match record.status {
-        registry::Status::Present if record.details.state == catalog::State::Draining => {
+        registry::Status::Present
+            if record.details.state == catalog::State::Draining || record.held_until.is_some() =>
+        {
             snapshot::Eligibility::ExistingFlows
         }
         registry::Status::Present | registry::Status::Lapsed => snapshot::Eligibility::NewFlows,
--- a/lib/src/protocol/cookie_settings.rs
+++ b/lib/src/protocol/cookie_settings.rs
@@ -39,6 +39,23 @@
     pub zone: CompactString,
 }
 
+/// The platform.
+#[serde_with::serde_as]
+#[derive(Clone, Debug, Deserialize)]
+pub struct Platform {
+    /// Address of the service.
+    #[serde_as(as = "DisplayFromStr")]
+    pub address: SocketAddr,
+    /// Maximum time that a watch request waits for a change.
+    #[serde_as(as = "unit::Span")]
+    #[serde(default = "settings::default_watch")]
+    pub watch: Duration,
+    /// Time between two writes of a target to its registration.
+    #[serde_as(as = "unit::Span")]
+    #[serde(default = "default_write_interval")]
+    pub write_interval: Duration,
+}
+
 /// All settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -49,7 +66,7 @@
     /// Logging.
     pub log: settings::Log,
     /// The platform.
-    pub platform: settings::Platform,
+    pub platform: Platform,
     /// Keys of the frames between instances.
     pub keyring: wire::Keyring,
     /// Control addresses of some instances. The list may be out of date.
@@ -62,6 +79,10 @@
     Duration::from_millis(3_500)
 }
 
+fn default_write_interval() -> Duration {
+    Duration::from_millis(1_200)
+}
+
 const SCHEMA: ini::Schema = &[
     ("fabric", &[("format", "cookie")]),
     (
@@ -88,10 +109,15 @@
     ("peers", &[("seeds", SEEDS_FORMAT)]),
     (
         "platform",
-        &[("address", ini::ADDRESS), ("watch", ini::TIME)],
+        &[
+            ("address", ini::ADDRESS),
+            ("watch", ini::TIME),
+            ("write_interval", WRITE_INTERVAL_FORMAT),
+        ],
     ),
 ];
 
+const WRITE_INTERVAL_FORMAT: &str = "a time from 100ms to 5m";
 const SEEDS_FORMAT: &str = "ADDRESS:PORT, separated by commas, or nothing";
 
 /// Whether the text of a settings file selects forwarding by cookie.
@@ -118,11 +144,18 @@
         let text = "instance.metrics: allowed: another address than instance.status";
         return Err(reader.error(code::Code::SettingsValue, line, text));
     }
+    let platform: Platform = reader.read("platform")?;
+    let interval = platform.write_interval;
+    if interval < Duration::from_millis(100) || interval > Duration::from_secs(300) {
+        let line = reader.value("platform", "write_interval")?.line;
+        let text = format!("platform.write_interval: allowed: {WRITE_INTERVAL_FORMAT}");
+        return Err(reader.error(code::Code::SettingsValue, line, text));
+    }
     Ok(Settings {
         flow_secret: settings::read_flow_secret(&reader)?,
         instance,
         log: reader.read("log")?,
-        platform: reader.read("platform")?,
+        platform,
         keyring: settings::read_keyring(&reader)?,
         seeds,
     })
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -147,7 +147,8 @@
     Duration::from_secs(2)
 }
 
-fn default_watch() -> Duration {
+/// Default of the maximum time that a watch request waits.
+pub fn default_watch() -> Duration {
     Duration::from_secs(30)
 }
 
--- a/lib/src/state/catalog.rs
+++ b/lib/src/state/catalog.rs
@@ -106,6 +106,8 @@
     pub cold_ms: u32,
     /// State that the target reports.
     pub state: State,
+    /// Number of its write to the registration, ascending from its start.
+    pub sequence: u64,
     /// Name of its service.
     pub service: CompactString,
     /// Number of requests that it processes concurrently.
@@ -136,6 +138,17 @@
     pub revision: Revision,
 }
 
+/// A registration from before a restore of the platform whose target is known to have left since.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hold {
+    /// Time for which the target takes no new flows unless it registers again, in milliseconds.
+    pub for_ms: u32,
+    /// Identity of the target.
+    pub id: key::Id,
+    /// Revision of the registration.
+    pub revision: Revision,
+}
+
 /// How far registry data reaches.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Position {
@@ -154,6 +167,8 @@
     pub config: Option<Config>,
     /// Registrations that changed.
     pub entries: Vec<Registration>,
+    /// Registrations that must not be used yet.
+    pub holds: Vec<Hold>,
     /// Revision before the changes.
     pub since: Revision,
     /// Whether `entries` lists all registrations. A registration that is not listed is removed.
@@ -169,6 +184,6 @@
     /// Number of changed registrations and routes.
     pub fn item_count(&self) -> usize {
         let routes = self.config.as_ref().map_or(0, |config| config.routes.len());
-        self.entries.len() + routes
+        self.entries.len() + self.holds.len() + routes
     }
 }
--- a/lib/src/state/random.rs
+++ b/lib/src/state/random.rs
@@ -26,3 +26,14 @@
         (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
+
+/// A random sample without replacement.
+pub fn sample<T>(mut from: Vec<T>, count: usize, random: &mut Source) -> Vec<T> {
+    let count = count.min(from.len());
+    for index in 0..count {
+        let other = index + random.below(from.len() - index);
+        from.swap(index, other);
+    }
+    from.truncate(count);
+    from
+}
--- a/lib/src/transport/cookie/event_log.rs
+++ b/lib/src/transport/cookie/event_log.rs
@@ -135,6 +135,7 @@
             };
             slog::info!(log, "target"; "target" => target_id(controller, *key),
                 "standing" => ?record.status, "duty" => ?record.details.state,
+                "held" => record.held_until.is_some(),
                 "address" => %record.details.address,
                 "service" => record.details.service.as_str(),
                 "target_zone" => record.details.zone.as_str(),
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -107,6 +107,7 @@
         address: instance.control,
         incarnation,
         name: instance.name.clone(),
+        write_interval: settings.platform.write_interval,
         zone: instance.zone.clone(),
     };
     let controller = controller::Controller::new(config, &settings.seeds, 1, random, clock.now());
--- a/lib/tests/cookie_fleet.rs
+++ b/lib/tests/cookie_fleet.rs
@@ -41,6 +41,7 @@
     let details = catalog::Target {
         address: SocketAddrV4::new(Ipv4Addr::new(10, 9, (id >> 8) as u8, id as u8), 80),
         cold_ms: 0,
+        sequence: 1,
         service: "board".into(),
         slots: 2,
         started_unix_ms: 1_764_000_000_000 + id,
@@ -140,6 +141,7 @@
             address: address(number),
             incarnation: number as u64 + 1,
             name: format!("instance-{number}").into(),
+            write_interval: time::Duration::from_millis(1_200),
             zone: zone(number as u64 % self.zones),
         };
         let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| address(*seed)).collect();
@@ -248,6 +250,7 @@
             entries: entries
                 .map(|id| registration(id, self.zones, number))
                 .collect(),
+            holds: Vec::new(),
             since,
             full,
         };
--- a/lib/tests/cookie_journal.rs
+++ b/lib/tests/cookie_journal.rs
@@ -44,6 +44,7 @@
         started_unix_ms: 1,
         cold_ms: 0,
         state: catalog::State::Active,
+        sequence: 1,
         service: "board".into(),
         slots: 2,
         zone: "here".into(),
@@ -63,6 +64,7 @@
         as_of: revision(23),
         config: Some(config),
         entries: vec![entry],
+        holds: Vec::new(),
         since: catalog::Revision::NONE,
         full: true,
     }
@@ -73,6 +75,7 @@
         address: address(1),
         incarnation: 1,
         name: "one".into(),
+        write_interval: time::Duration::from_millis(1_200),
         zone: "here".into(),
     };
     controller::Controller::new(config, &[address(1)], 1, random::Source::new(1), at(0))
--- a/lib/tests/cookie_registry.rs
+++ b/lib/tests/cookie_registry.rs
@@ -19,6 +19,7 @@
         started_unix_ms: 0,
         cold_ms: 0,
         state,
+        sequence: 1,
         service: "board".into(),
         slots: 2,
         zone: "here".into(),
@@ -55,6 +56,7 @@
         as_of: revision(as_of),
         config: Some(config(version)),
         entries,
+        holds: Vec::new(),
         since: catalog::Revision::NONE,
         full: true,
     }
@@ -65,6 +67,7 @@
         as_of: revision(as_of),
         config: None,
         entries,
+        holds: Vec::new(),
         since: revision(since),
         full: false,
     }
@@ -83,7 +86,7 @@
 }
 
 fn loaded_registry() -> registry::Registry {
-    let mut registry = registry::Registry::default();
+    let mut registry = registry::Registry::new(time::Duration::from_millis(1_200));
     let delta = full_delta(5, 3, vec![present(1, 4), present(2, 5)]);
     registry.apply(at(0), &delta, at(0));
     registry
@@ -147,8 +150,8 @@
     registry.tick(at(76_000));
     assert_eq!(status(&registry, 2), None);
     // An instance that still knows the target needs a full delta.
-    assert!(registry.delta_since(position(5, 3)).full);
-    assert!(!registry.delta_since(position(6, 3)).full);
+    assert!(registry.delta_since(at(800), position(5, 3)).full);
+    assert!(!registry.delta_since(at(800), position(6, 3)).full);
 }
 
 #[test]
@@ -167,18 +170,20 @@
 fn deltas_carry_only_what_the_requester_lacks() {
     let mut registry = loaded_registry();
     registry.apply(at(100), &partial_delta(5, 8, vec![present(3, 8)]), at(100));
-    let delta = registry.delta_since(position(5, 3));
+    let delta = registry.delta_since(at(800), position(5, 3));
     assert_eq!(delta.config, None);
     assert_eq!(delta.entries.len(), 1);
     assert_eq!(
         registry
-            .delta_since(catalog::Position::default())
+            .delta_since(at(800), catalog::Position::default())
             .entries
             .len(),
         3
     );
     assert_eq!(
-        registry.delta_since(catalog::Position::default()).config,
+        registry
+            .delta_since(at(800), catalog::Position::default())
+            .config,
         Some(config(3))
     );
 }
@@ -190,7 +195,7 @@
     let mut registry = loaded_registry();
     registry.apply(at(100), &full_delta(4, 6, vec![]), at(100));
     let version = |position| {
-        let config = registry.delta_since(position).config;
+        let config = registry.delta_since(at(800), position).config;
         config.map(|config| config.version)
     };
     assert_eq!(version(position(5, 3)), Some(6));
@@ -244,7 +249,7 @@
     let before = registry.as_of;
     registry.apply(at(700), &partial_delta(5, 8, vec![present(7, 8)]), at(700));
     assert_eq!((status(&registry, 7), registry.as_of), (None, before));
-    assert!(registry.delta_since(position(5, 3)).full);
+    assert!(registry.delta_since(at(800), position(5, 3)).full);
 }
 
 // Guards against taking a target for ended whose registration was made after the copy.
@@ -258,6 +263,98 @@
     assert_eq!(status(&registry, 2), Some(registry::Status::Removed));
 }
 
+/// A registration with the target's own number of the write.
+fn written(id: u64, number: u64, sequence: u64, state: catalog::State) -> catalog::Registration {
+    let details = catalog::Target {
+        sequence,
+        ..details(state)
+    };
+    entry(id, number, catalog::Presence::Present(details))
+}
+
+fn is_held(registry: &registry::Registry, id: u64) -> bool {
+    let key = registry.find(key::Id(id)).expect("a target");
+    let record = registry.targets.get(key).expect("a record");
+    record.held_until.is_some()
+}
+
+// Guards against new flows on targets that left, or began to leave, after the copy was taken from
+// which the platform was restored.
+#[test]
+fn targets_that_left_after_the_copy_are_held_until_the_platform_would_have_removed_them() {
+    let active = catalog::State::Active;
+    let mut registry = registry::Registry::new(time::Duration::from_millis(1_200));
+    let entries = (1..=4).map(|id| written(id, id, 1, active)).collect();
+    registry.apply(at(0), &full_delta(5, 3, entries), at(0));
+    let changes = vec![
+        entry(1, 6, catalog::Presence::Removed),
+        written(2, 7, 9, catalog::State::Draining),
+        // Writes that only report a shorter warm-up do not say that the target leaves.
+        written(3, 8, 9, active),
+        entry(4, 9, catalog::Presence::Removed),
+    ];
+    registry.apply(at(100), &partial_delta(5, 9, changes), at(100));
+    // The last one started again before the platform answered.
+    let mut copy: Vec<_> = (1..=3).map(|id| written(id, id, 1, active)).collect();
+    copy.push(written(4, 6, 2, active));
+    registry.apply(at(500), &restored(6, copy), at(500));
+    let held: Vec<bool> = (1..=4).map(|id| is_held(&registry, id)).collect();
+    assert_eq!(held, [true, true, false, false]);
+    registry.tick(at(6_000));
+    assert!(is_held(&registry, 1));
+    // Three intervals of 1.2 s and the time of return.
+    registry.tick(at(6_200));
+    assert!(!is_held(&registry, 1));
+}
+
+#[test]
+fn a_held_target_that_registers_again_is_used() {
+    let mut registry = loaded_registry();
+    let removed = entry(2, 6, catalog::Presence::Removed);
+    registry.apply(at(100), &partial_delta(5, 6, vec![removed]), at(100));
+    let copy = restored(5, vec![present(1, 4), present(2, 5)]);
+    registry.apply(at(500), &copy, at(500));
+    assert!(is_held(&registry, 2));
+    let mut anew = restored(6, vec![present(2, 6)]);
+    (anew.since, anew.full) = (copy.as_of, false);
+    registry.apply(at(700), &anew, at(700));
+    assert!(!is_held(&registry, 2));
+}
+
+// A target whose registration ends in the grace period after a restore would else take new flows as
+// one whose registration may only have lapsed.
+#[test]
+fn a_held_target_whose_registration_ends_is_gone_at_once() {
+    let mut registry = loaded_registry();
+    let removed = entry(2, 6, catalog::Presence::Removed);
+    registry.apply(at(100), &partial_delta(5, 6, vec![removed]), at(100));
+    let copy = restored(5, vec![present(1, 4), present(2, 5)]);
+    registry.apply(at(500), &copy, at(500));
+    let mut ended = restored(6, vec![entry(2, 6, catalog::Presence::Removed)]);
+    (ended.since, ended.full) = (copy.as_of, false);
+    registry.apply(at(700), &ended, at(700));
+    assert_eq!(status(&registry, 2), Some(registry::Status::Removed));
+}
+
+// Guards against an instance that started after the restore and uses targets that its peers know to
+// have left.
+#[test]
+fn an_instance_without_a_past_learns_of_held_targets() {
+    let mut registry = loaded_registry();
+    let removed = entry(2, 6, catalog::Presence::Removed);
+    registry.apply(at(100), &partial_delta(5, 6, vec![removed]), at(100));
+    let copy = restored(5, vec![present(1, 4), present(2, 5)]);
+    registry.apply(at(500), &copy, at(500));
+    let mut fresh = registry::Registry::default();
+    fresh.apply(at(600), &copy, at(600));
+    fresh.apply_holds(at(700), &registry.holds(at(700)));
+    assert!(is_held(&fresh, 2) && !is_held(&fresh, 1));
+    let mut fetched = registry::Registry::default();
+    let delta = registry.delta_since(at(700), catalog::Position::default());
+    fetched.apply(at(700), &delta, at(700));
+    assert!(is_held(&fetched, 2));
+}
+
 #[test]
 fn cookies_of_many_targets_differ() {
     let mut seen = std::collections::HashSet::new();
--- a/lib/tests/cookie_settings.rs
+++ b/lib/tests/cookie_settings.rs
@@ -54,6 +54,11 @@
             code::Code::SettingsValue,
         ),
         ("watch = 2s", "watch = soon", code::Code::SettingsValue),
+        (
+            "watch = 2s",
+            "write_interval = 1ms",
+            code::Code::SettingsValue,
+        ),
         (
             "zone = mobile-bay",
             "zome = mobile-bay",
