--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -241,8 +241,13 @@
         } else if delta.full {
             changes.push(Change::Outdated(delta.as_of));
         }
+        let is_outdated = delta.as_of < self.as_of;
         for entry in &delta.entries {
-            changes.extend(self.apply_entry(now, entry, restored).map(Change::Target));
+            // All changes up to `as_of` are known, so an unknown target was removed since.
+            let is_known = !is_outdated || self.find(entry.id).is_some();
+            if is_known || entry.revision > self.as_of {
+                changes.extend(self.apply_entry(now, entry, restored).map(Change::Target));
+            }
         }
         changes.extend(self.apply_holds(now, &delta.holds));
         changes
--- a/lib/tests/cookie_registry.rs
+++ b/lib/tests/cookie_registry.rs
@@ -103,6 +103,21 @@
     assert_eq!(status(&registry, 1), Some(registry::Status::Present));
 }
 
+// Guards against a target that left and is used again, since data that was fetched before its end
+// arrives after newer data in which it no longer occurs.
+#[test]
+fn outdated_data_adds_no_targets() {
+    let mut registry = loaded_registry();
+    let newer = partial_delta(5, 9, vec![entry(3, 8, catalog::Presence::Removed)]);
+    registry.apply(at(100), &newer, at(100));
+    let mut outdated = partial_delta(5, 7, vec![present(3, 6)]);
+    registry.apply(at(200), &outdated, at(50));
+    assert_eq!(status(&registry, 3), None);
+    (outdated.since, outdated.full) = (catalog::Revision::NONE, true);
+    registry.apply(at(300), &outdated, at(50));
+    assert_eq!((status(&registry, 3), registry.as_of), (None, revision(9)));
+}
+
 #[test]
 fn a_full_delta_removes_unlisted_targets() {
     let mut registry = loaded_registry();
