--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -68,14 +68,14 @@
     }
 
     pub fn add_target(&self, number: u8, service: &str) {
-        let address = SocketAddrV4::new(ip(self.block, 100 + number), 8_080);
+        let address = self.target_address(number);
         echo::start_target(address, u64::from(number), TRAFFIC_PORT).expect("a target");
         self.register(number, service, "ready");
     }
 
     pub fn register(&self, number: u8, service: &str, state: &str) {
-        let address = format!("{}:8080", ip(self.block, 100 + number));
-        let entry = json!({"service": service, "address": address, "zone": "here",
+        let address = self.target_address(number);
+        let entry = json!({"service": service, "address": address.to_string(), "zone": "here",
             "version": "v1", "slots": 2, "state": state, "coldMs": 0,
             "seq": self.store.next_revision(), "born": 1_764_000_000_000_u64});
         self.store.put(&format!("servers/{number:x}"), &entry);
@@ -127,6 +127,16 @@
         std::fs::read_to_string(file).expect("a log")
     }
 
+    /// Whether the process of an instance has not ended.
+    pub fn is_running(&mut self, instance: usize) -> bool {
+        let child = self.children[instance].as_mut().expect("a child");
+        child.try_wait().expect("its state").is_none()
+    }
+
+    pub fn target_address(&self, number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(ip(self.block, 100 + number), 8_080)
+    }
+
     /// Kills an instance and starts it again.
     pub fn restart_instance(&mut self, instance: usize) {
         self.signal(instance, Signal::SIGKILL);
--- /dev/null
+++ b/daemon/tests/odd_registrations.rs
@@ -0,0 +1,97 @@
+//! Tests of registrations that another writer left among those of the targets.
+
+use std::time::{Duration, Instant};
+
+use crate::cookie::Site;
+
+/// Time in which every instance applies a change.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Pause between attempts.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A registration of target 1 with one field replaced.
+fn altered(site: &Site, field: &str, value: &str) -> String {
+    let fields = [
+        ("service", "\"board\"".to_owned()),
+        ("address", format!("\"{}\"", site.target_address(1))),
+        ("zone", "\"here\"".to_owned()),
+        ("version", "\"v1\"".to_owned()),
+        ("slots", "2".to_owned()),
+        ("state", "\"ready\"".to_owned()),
+        ("coldMs", "0".to_owned()),
+        ("seq", "1".to_owned()),
+        ("born", "1764000000000".to_owned()),
+    ];
+    let mut pairs: Vec<String> = fields
+        .iter()
+        .filter(|(name, _)| *name != field)
+        .map(|(name, text)| format!("\"{name}\":{text}"))
+        .collect();
+    pairs.push(format!("\"{field}\":{value}"));
+    format!("{{{}}}", pairs.join(","))
+}
+
+/// Asserts that each instance places new flows on a target within the limit and still runs.
+fn assert_followed(site: &mut Site, instances: usize, target: u64) {
+    let start = Instant::now();
+    let mut caller = site.caller(9);
+    for instance in 0..instances {
+        while !site.places_new_flow_on(&mut caller, instance, target) {
+            let waited = start.elapsed();
+            assert!(
+                waited < APPLY_LIMIT,
+                "instance {instance}: not in {waited:?}"
+            );
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        assert!(site.is_running(instance), "instance {instance} ended");
+    }
+}
+
+// Guards against an entry that ends the processes that read it, or from which on they read nothing.
+#[test]
+fn odd_registrations_end_no_instance_and_hide_no_others() {
+    let site = &mut Site::start(30, 3);
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let huge = "9".repeat(400);
+    let odd = [
+        altered(site, "extra", &nested),
+        altered(site, "service", &nested),
+        nested.clone(),
+        "[".repeat(100_000),
+        altered(site, "slots", &huge),
+        altered(site, "slots", "1e999"),
+        altered(site, "coldMs", &huge),
+        altered(site, "seq", &huge),
+        altered(site, "born", "18446744073709551616"),
+        altered(site, "address", "\"10.0.0.1:65536\""),
+        altered(site, "address", "\"10.0.0.1:0\""),
+        altered(site, "address", "\"255.255.255.255:80\""),
+        String::new(),
+    ];
+    for (number, text) in odd.iter().enumerate() {
+        let key = format!("servers/{:x}", 0xa0 + number);
+        site.store.put_bytes(&key, text.as_bytes());
+    }
+    site.store.put_bytes("servers/c0", &[0xff, 0xfe, 0x00]);
+    site.add_target(3, "board");
+    assert_followed(site, 3, 3);
+    // An instance that starts reads them all at once.
+    site.restart_instance(0);
+    site.wait_until("ready again", |site| site.is_ready(0));
+    assert_followed(site, 3, 3);
+}
+
+// Guards against a watch whose answer is over the size that is taken, and which is then asked for
+// again and again without an end.
+#[test]
+fn changes_larger_than_one_answer_are_read_page_by_page() {
+    let site = &mut Site::start(31, 3);
+    let large = altered(site, "zone", &format!("\"{}\"", "z".repeat(900_000)));
+    for number in 0..6 {
+        let key = format!("servers/{:x}", 0xb0 + number);
+        site.store.put_bytes(&key, large.as_bytes());
+    }
+    site.add_target(3, "board");
+    assert_followed(site, 3, 3);
+}
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -3,6 +3,7 @@
 mod command_line;
 mod cookie;
 mod failures;
+mod odd_registrations;
 mod restored_platform;
 mod site;
 mod soak;
--- a/lib/src/state/code.rs
+++ b/lib/src/state/code.rs
@@ -49,6 +49,8 @@
     InstanceUnreachable = 402,
     /// The platform no longer has the history that a watch asks for.
     PlatformHistory = 403,
+    /// A response is larger than accepted.
+    ResponseSize = 404,
     /// A frame fails its authentication.
     FrameAuthentication = 500,
     /// A frame cannot be decoded.
@@ -63,7 +65,7 @@
 
 impl Code {
     /// All codes in numeric order.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Ok,
         Self::Usage,
         Self::FileUnreadable,
@@ -83,6 +85,7 @@
         Self::PlatformAnswer,
         Self::InstanceUnreachable,
         Self::PlatformHistory,
+        Self::ResponseSize,
         Self::FrameAuthentication,
         Self::FrameEncoding,
         Self::SocketUnavailable,
@@ -117,6 +120,7 @@
             Self::PlatformAnswer => "the platform answered with an error",
             Self::InstanceUnreachable => "an instance cannot be reached",
             Self::PlatformHistory => "the platform no longer has the history that a watch asks for",
+            Self::ResponseSize => "a response is larger than accepted",
             Self::FrameAuthentication => "a frame fails its authentication",
             Self::FrameEncoding => "a frame cannot be decoded",
             Self::SocketUnavailable => "a socket cannot be opened",
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -219,7 +219,13 @@
         let update = source(since);
         lost_history = match &update {
             Ok(update) => !update.delta.is_gapless(),
-            Err(report) => lost_history || fault::code(report) == code::Code::PlatformHistory,
+            Err(report) => {
+                // Pages of a full read have a limited size, unlike the changes since a revision.
+                let code = fault::code(report);
+                let is_useless =
+                    code == code::Code::PlatformHistory || code == code::Code::ResponseSize;
+                lost_history || is_useless
+            }
         };
         update.map(|update| watch::Response {
             // A full read must follow at once on an answer with a gap.
--- a/lib/src/transport/http_client.rs
+++ b/lib/src/transport/http_client.rs
@@ -37,7 +37,7 @@
 
 impl Client {
     /// A client whose calls end after `timeout` and accept at most `limit` bytes. Calls without a
-    /// response fail with the code `unreachable`.
+    /// response fail with the code `unreachable`, and those with a larger one with `ResponseSize`.
     pub fn new(
         address: SocketAddr,
         timeout: Duration,
@@ -58,11 +58,16 @@
         }
     }
 
-    /// Gets a path. Errors have the client's code for an unreachable server.
+    /// Gets a path. Errors have the client's code for an unreachable server, or `ResponseSize`.
     pub fn get(&self, path: &str) -> fault::Result<Response> {
         let url = format!("http://{}{path}", self.address);
-        let failed =
-            |error: ureq::Error| fault::report(self.unreachable, format!("{url}: {error}"));
+        let failed = |error: ureq::Error| {
+            let code = match error {
+                ureq::Error::BodyExceedsLimit(_) => code::Code::ResponseSize,
+                _ => self.unreachable,
+            };
+            fault::report(code, format!("{url}: {error}"))
+        };
         let mut response = self.agent.get(&url).call().map_err(failed)?;
         let status = response.status().as_u16();
         let headers = std::mem::take(response.headers_mut());
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -16,6 +16,8 @@
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest number of items on a page.
 const PAGE_ITEMS: usize = 50;
+/// Size of the values at which a page ends.
+const PAGE_BYTES: usize = 1 << 20;
 
 /// How the store responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -65,10 +67,15 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes an item whose value may be anything.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
-        let text = STANDARD.encode(value.to_string());
+        let text = STANDARD.encode(value);
         let item = json!({"key": key, "value": text, "rev": revision, "created": revision});
         state.items.insert(key.to_owned(), item.clone());
         state.history.push((revision, item));
@@ -154,9 +161,17 @@
     fn range(&self, after: Option<&str>) -> Value {
         let after = after.unwrap_or("").replace("%2F", "/").replace("%2D", "-");
         let later = self.items.iter().filter(|(key, _)| **key > after);
-        let mut items: Vec<&Value> = later.map(|(_, item)| item).collect();
-        let has_more = items.len() > PAGE_ITEMS;
-        items.truncate(PAGE_ITEMS);
+        let later: Vec<&Value> = later.map(|(_, item)| item).collect();
+        let mut bytes = 0;
+        let mut items = Vec::new();
+        for item in later.iter().take(PAGE_ITEMS) {
+            bytes += item["value"].as_str().map_or(0, str::len);
+            items.push(item);
+            if bytes >= PAGE_BYTES {
+                break;
+            }
+        }
+        let has_more = items.len() < later.len();
         json!({"items": items, "hasMore": has_more, "asOf": self.revision})
     }
 
