--- a/lib/src/coordination/cookie/controller.rs
+++ b/lib/src/coordination/cookie/controller.rs
@@ -584,6 +584,7 @@
                 .filter(|_| self.watching)
                 .map(|platform_answered_at| time::millis(now.since(platform_answered_at))),
             delta: None,
+            form: heartbeat::Form,
             holds,
             incarnation: self.config.incarnation,
             instances: u16::try_from(self.peers.instance_count()).unwrap_or(u16::MAX),
--- a/lib/src/coordination/cookie/heartbeat.rs
+++ b/lib/src/coordination/cookie/heartbeat.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::state::catalog;
 
@@ -79,9 +80,34 @@
     pub progress_ms: u16,
 }
 
+/// Number of the form of a heartbeat, to be raised with each change of its fields.
+const FORM: u8 = 2;
+
+/// The form of a heartbeat. Only the current one can be decoded.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Form;
+
+impl Serialize for Form {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u8(FORM)
+    }
+}
+
+impl<'de> Deserialize<'de> for Form {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        match u8::deserialize(deserializer)? {
+            FORM => Ok(Self),
+            other => Err(D::Error::custom(format!("heartbeat of form {other}"))),
+        }
+    }
+}
+
 /// State that an instance sends to its peers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
+    /// Form of the other fields. It comes first, where heartbeats without a form have the tag of an
+    /// optional value, which is 0 or 1.
+    pub form: Form,
     /// Age of the sender's registry data in milliseconds; none if it has none.
     pub age_ms: Option<u32>,
     /// Other instances that watch the platform or are next to do so.
--- a/lib/tests/decoders.rs
+++ b/lib/tests/decoders.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use quetzal_lib::coordination::{message, sheet as acceptance};
+use quetzal_lib::coordination::{cookie, message, sheet as acceptance};
 use quetzal_lib::protocol::{ip, manifest, settings, sheet, wire};
 use quetzal_lib::state::{count, flow, key};
 
@@ -28,6 +28,23 @@
     }
 }
 
+// Guards against heartbeats of a build with other fields that are decoded into wrong values while
+// both builds run.
+#[test]
+fn heartbeats_of_another_form_are_refused() {
+    let keyring = keyring(1, 5);
+    let sender = key::Instance(0);
+    // The form before this one begins with an optional age.
+    let former = (Some(5u32), 23u64, [0u8; 32], [0u8; 32]);
+    let bytes = wire::encode(&keyring, wire::Kind::Heartbeat, sender, &former);
+    assert!(wire::decode::<cookie::heartbeat::Heartbeat>(&keyring, &bytes).is_err());
+    let current = cookie::heartbeat::Heartbeat::default();
+    let bytes = wire::encode(&keyring, wire::Kind::Heartbeat, sender, &current);
+    let decoded = wire::decode::<cookie::heartbeat::Heartbeat>(&keyring, &bytes);
+    assert!(decoded.is_ok());
+    assert!(wire::decode::<(Option<u32>, u64)>(&keyring, &bytes).is_err());
+}
+
 proptest! {
     #![proptest_config(Config {
         cases: 512,
