--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -10,7 +10,7 @@
 
 /// Seeds to run: one that covers most faults, and each seed that has failed, with its cause. None
 /// has failed so far.
-const SEEDS: [u64; 1] = [40];
+const SEEDS: [u64; 1] = [161];
 /// Length of a run: ten seconds of faults between the start and a fault-free end.
 const RUN_LENGTH: Duration = Duration::from_secs(28);
 
--- a/standin/src/soak/inject.rs
+++ b/standin/src/soak/inject.rs
@@ -16,6 +16,10 @@
 /// Time from the end of an outage to the renewal of the registrations that expired in it. Such an
 /// outage also exceeds the duration of its fault by this time.
 const REREGISTRATION_DELAY: Duration = Duration::from_millis(1_500);
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_OUTAGE: Duration = Duration::from_millis(800);
+/// Time after which the store removes a registration that its target no longer renews.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(3_600);
 /// Share of packets lost during packet loss.
 const LOSS_RATE: f64 = 0.03;
 /// Smallest number of active targets that a replacement must leave to a service.
@@ -40,6 +44,8 @@
     pub store: store::Store,
     /// Version of the last published configuration.
     pub version: u64,
+    /// Number of the last write to a registration.
+    pub writes: u64,
 }
 
 impl Soak {
@@ -112,6 +118,7 @@
                 self.network.state().excuse_store(Duration::ZERO);
                 self.store.compact();
             }
+            plan::Fault::StoreRestore => self.restore_store(duration),
             plan::Fault::StoreSilent(instance) => {
                 self.set_proxy_mode(instance, proxy::Mode::Silent, duration);
             }
@@ -224,7 +231,7 @@
                 continue;
             }
             let id = target.id;
-            self.store.remove(&format!("servers/{id:x}"));
+            self.store.remove(&registration_key(id));
             self.schedule(duration + REREGISTRATION_DELAY * 2, move |soak| {
                 let is_same = {
                     let state = soak.network.state();
@@ -239,6 +246,40 @@
         }
     }
 
+    /// Makes the store lose what is written in `duration`. The configuration is written again at
+    /// once, and registrations within the time that targets take to reach the store.
+    fn restore_store(&mut self, duration: Duration) {
+        let copy = self.store.copy();
+        self.schedule(duration, move |soak| {
+            soak.store_busy(RESTORE_OUTAGE);
+            soak.store.restore(&copy);
+            soak.write_config();
+            soak.schedule(RESTORE_OUTAGE + REREGISTRATION_DELAY, |soak| {
+                let targets = soak.network.state().targets.clone();
+                for (index, target) in targets.iter().enumerate().filter(|(_, found)| found.up) {
+                    let is_draining = target.draining_since.is_some();
+                    soak.register(index, if is_draining { "draining" } else { "ready" });
+                }
+                Ok(())
+            });
+            soak.schedule(RESTORE_OUTAGE + REGISTRATION_TIMEOUT, |soak| {
+                let targets = soak.network.state().targets.clone();
+                let current: Vec<String> = targets
+                    .iter()
+                    .filter(|target| target.up)
+                    .map(|target| registration_key(target.id))
+                    .collect();
+                for key in soak.store.keys() {
+                    if key.starts_with("servers/") && !current.contains(&key) {
+                        soak.store.remove(&key);
+                    }
+                }
+                Ok(())
+            });
+            Ok(())
+        });
+    }
+
     /// Drains and removes a target; then a target of the other service reuses its address.
     fn replace_target(&mut self, target: usize) {
         let mut state = self.network.state();
@@ -259,7 +300,7 @@
             state.excuse_target(target, Duration::ZERO);
             state.targets[target].up = false;
             drop(state);
-            soak.store.remove(&format!("servers/{id:x}"));
+            soak.store.remove(&registration_key(id));
             soak.schedule(ADDRESS_REUSE_DELAY, move |soak| {
                 let id = soak.next_id;
                 soak.next_id += 1;
@@ -292,6 +333,11 @@
     /// Publishes the routes in a new version of the configuration.
     pub fn publish_config(&mut self) {
         self.version += 1;
+        self.write_config();
+    }
+
+    /// Writes the routes in the last published version of the configuration.
+    fn write_config(&self) {
         let routes: Vec<_> = self
             .network
             .state()
@@ -311,11 +357,16 @@
     }
 
     /// Writes a target's registration with the state `ready` or `draining`.
-    pub fn register(&self, index: usize, state: &str) {
+    pub fn register(&mut self, index: usize, state: &str) {
+        self.writes += 1;
         let target = self.network.state().targets[index].clone();
         let entry = json!({"service": target.service, "address": target.address.to_string(),
             "zone": format!("zone-{}", target.zone), "version": "v1", "slots": 2, "state": state,
-            "coldMs": 0, "seq": 1, "born": target.incarnation});
-        self.store.put(&format!("servers/{:x}", target.id), &entry);
+            "coldMs": 0, "seq": self.writes, "born": target.incarnation});
+        self.store.put(&registration_key(target.id), &entry);
     }
 }
+
+fn registration_key(id: u64) -> String {
+    format!("servers/{id:x}")
+}
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -175,6 +175,7 @@
         proxies,
         store,
         version: 0,
+        writes: 0,
     };
     soak.publish_config();
     for index in 0..options.targets {
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -33,6 +33,8 @@
     StoreLapse,
     /// The store compacts its history, so that running watches get 410.
     StoreCompact,
+    /// The store comes back from a copy that lacks what was written in the fault's duration.
+    StoreRestore,
     /// Connections of an instance to the store stay open but carry no data.
     StoreSilent(usize),
     /// Connections of an instance to the store carry requests but no responses.
@@ -97,7 +99,7 @@
 fn random_fault(random: &mut random::Source, counts: Counts) -> Fault {
     let instance = random.below(counts.instances);
     let target = random.below(counts.targets);
-    match random.below(19) {
+    match random.below(20) {
         0 | 1 => Fault::Kill(instance),
         2 => Fault::Pause(instance),
         3 | 4 => Fault::Stop(instance),
@@ -114,6 +116,7 @@
         15 => Fault::TargetReplace(target),
         16 => Fault::Route,
         17 => Fault::ZoneCut(random.below(counts.zones)),
+        18 => Fault::StoreRestore,
         _ => Fault::Loss,
     }
 }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -104,6 +104,11 @@
         state.revision += 1;
     }
 
+    /// Keys of all items.
+    pub fn keys(&self) -> Vec<String> {
+        self.state().items.keys().cloned().collect()
+    }
+
     /// Copies the items.
     pub fn copy(&self) -> Copy {
         let state = self.state();
