--- a/lib/src/coordination/cookie/registry.rs
+++ b/lib/src/coordination/cookie/registry.rs
@@ -64,7 +64,7 @@
 }
 
 impl Record {
-    /// What the log tells of changes of.
+    /// The state whose changes are logged.
     fn summary(&self) -> (Status, catalog::State, u64, bool) {
         let details = &self.details;
         let is_held = self.held_until.is_some();
@@ -244,8 +244,9 @@
         let is_outdated = delta.as_of < self.as_of;
         for entry in &delta.entries {
             // All changes up to `as_of` are known, so an unknown target was removed since.
-            let is_known = !is_outdated || self.find(entry.id).is_some();
-            if is_known || entry.revision > self.as_of {
+            let was_removed =
+                is_outdated && entry.revision <= self.as_of && self.find(entry.id).is_none();
+            if !was_removed {
                 changes.extend(self.apply_entry(now, entry, restored).map(Change::Target));
             }
         }
@@ -288,8 +289,8 @@
             .collect()
     }
 
-    /// Ends the grace period of lapsed targets and the holds that are over, and drops targets that were removed long enough ago;
-    /// returns the changes.
+    /// Ends the grace period of lapsed targets and the holds that are over, and drops targets that
+    /// were removed long enough ago; returns the changes.
     pub fn tick(&mut self, now: time::Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut expired = Vec::new();
@@ -417,7 +418,8 @@
         entry: &catalog::Registration,
         restored: bool,
     ) -> Option<key::Target> {
-        let in_grace = now < self.grace_until;
+        // A removal in an earlier era has nothing to do with the restore.
+        let in_grace = now < self.grace_until && entry.revision.era == self.as_of.era;
         let hold_until = now + self.hold_time;
         let record = self.targets.get_mut(key)?;
         if entry.revision <= record.revision {
--- a/lib/src/transport/cookie/adapter.rs
+++ b/lib/src/transport/cookie/adapter.rs
@@ -26,6 +26,6 @@
 }
 
 /// Reads the changes after a revision, or all registry data without one. Waits for a change for a
-/// limited time. The answer to a revision may be of a later era. Errors are `PlatformUnreachable`, `PlatformAnswer` and
-/// `PlatformHistory`.
+/// limited time. The answer to a revision may be of a later era. Errors are `PlatformUnreachable`,
+/// `PlatformAnswer`, `PlatformHistory` and `ResponseSize`.
 pub type Source = Box<dyn FnMut(Option<catalog::Revision>) -> fault::Result<Update> + Send>;
--- a/lib/src/transport/cookie/node.rs
+++ b/lib/src/transport/cookie/node.rs
@@ -221,10 +221,8 @@
             Ok(update) => !update.delta.is_gapless(),
             Err(report) => {
                 // Pages of a full read have a limited size, unlike the changes since a revision.
-                let code = fault::code(report);
-                let is_useless =
-                    code == code::Code::PlatformHistory || code == code::Code::ResponseSize;
-                lost_history || is_useless
+                let needs_full_read = [code::Code::PlatformHistory, code::Code::ResponseSize];
+                lost_history || needs_full_read.contains(&fault::code(report))
             }
         };
         update.map(|update| watch::Response {
--- a/lib/tests/cookie_registry.rs
+++ b/lib/tests/cookie_registry.rs
@@ -322,6 +322,16 @@
     assert!(!is_held(&registry, 1));
 }
 
+// Guards against new flows on a target whose removal before the restore this instance missed.
+#[test]
+fn a_removal_of_an_earlier_era_has_no_grace_period() {
+    let mut registry = loaded_registry();
+    let mut delta = restored(4, vec![present(1, 3)]);
+    delta.entries.push(entry(2, 6, catalog::Presence::Removed));
+    registry.apply(at(500), &delta, at(500));
+    assert_eq!(status(&registry, 2), Some(registry::Status::Removed));
+}
+
 #[test]
 fn a_held_target_that_registers_again_is_used() {
     let mut registry = loaded_registry();
