daemon: one check of targets in use in the tests of registrations

The tests of odd registrations and of a restored platform had it twice; the shared one also checks that the process runs, in both.

--- a/daemon/tests/cookie.rs
+++ b/daemon/tests/cookie.rs
@@ -17,6 +17,10 @@
 
 /// Longest wait for a condition.
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// Time in which every instance applies a change.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Pause between attempts.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const ROUTE_PORT: u16 = 8_443;
 
 /// Instances, targets and a store on a dedicated block of addresses.
@@ -158,7 +162,25 @@
         let start = Instant::now();
         while !condition(self) {
             assert!(start.elapsed() < TIMEOUT, "not within {TIMEOUT:?}: {what}");
-            std::thread::sleep(Duration::from_millis(20));
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Asserts that each of the first `instances` instances places new flows on a target within the
+    /// time in which a change must be in force, and still runs.
+    pub fn assert_in_use(&mut self, instances: usize, target: u64) {
+        let start = Instant::now();
+        let mut caller = self.caller(9);
+        for instance in 0..instances {
+            while !self.places_new_flow_on(&mut caller, instance, target) {
+                let waited = start.elapsed();
+                assert!(
+                    waited < APPLY_LIMIT,
+                    "instance {instance}: not in {waited:?}"
+                );
+                std::thread::sleep(POLL_INTERVAL);
+            }
+            assert!(self.is_running(instance), "instance {instance} ended");
         }
     }
 
--- a/daemon/tests/odd_registrations.rs
+++ b/daemon/tests/odd_registrations.rs
@@ -1,14 +1,7 @@
 //! Tests of registrations that another writer left among those of the targets.
 
-use std::time::{Duration, Instant};
-
 use crate::cookie::Site;
 
-/// Time in which every instance applies a change.
-const APPLY_LIMIT: Duration = Duration::from_secs(3);
-/// Pause between attempts.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A registration of target 1 with one field replaced.
 fn altered(site: &Site, field: &str, value: &str) -> String {
     let fields = [
@@ -31,23 +24,6 @@
     format!("{{{}}}", pairs.join(","))
 }
 
-/// Asserts that each instance places new flows on a target within the limit and still runs.
-fn assert_followed(site: &mut Site, instances: usize, target: u64) {
-    let start = Instant::now();
-    let mut caller = site.caller(9);
-    for instance in 0..instances {
-        while !site.places_new_flow_on(&mut caller, instance, target) {
-            let waited = start.elapsed();
-            assert!(
-                waited < APPLY_LIMIT,
-                "instance {instance}: not in {waited:?}"
-            );
-            std::thread::sleep(POLL_INTERVAL);
-        }
-        assert!(site.is_running(instance), "instance {instance} ended");
-    }
-}
-
 // Guards against an entry that ends the processes that read it, or from which on they read nothing.
 #[test]
 fn odd_registrations_end_no_instance_and_hide_no_others() {
@@ -75,11 +51,11 @@
     }
     site.store.put_bytes("servers/c0", &[0xff, 0xfe, 0x00]);
     site.add_target(3, "board");
-    assert_followed(site, 3, 3);
+    site.assert_in_use(3, 3);
     // An instance that starts reads them all at once.
     site.restart_instance(0);
     site.wait_until("ready again", |site| site.is_ready(0));
-    assert_followed(site, 3, 3);
+    site.assert_in_use(3, 3);
 }
 
 // Guards against a watch whose answer is over the size that is taken, and which is then asked for
@@ -93,5 +69,5 @@
         site.store.put_bytes(&key, large.as_bytes());
     }
     site.add_target(3, "board");
-    assert_followed(site, 3, 3);
+    site.assert_in_use(3, 3);
 }
--- a/daemon/tests/restored_platform.rs
+++ b/daemon/tests/restored_platform.rs
@@ -4,14 +4,10 @@
 
 use quetzal_standin::store;
 
-use crate::cookie::Site;
+use crate::cookie::{POLL_INTERVAL, Site};
 
-/// Time in which every instance applies a change.
-const APPLY_LIMIT: Duration = Duration::from_secs(3);
 /// Time for which an instance must have run before the bounds hold for it.
 const STABILITY_TIME: Duration = Duration::from_secs(4);
-/// Pause between attempts.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a platform needs to recognize that a target no longer renews its registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -24,22 +20,6 @@
     site.store.set_mode(store::Mode::Up);
 }
 
-/// Asserts that each of some instances places new flows on a target within the limit.
-fn assert_in_use(site: &Site, instances: usize, target: u64) {
-    let start = Instant::now();
-    let mut caller = site.caller(9);
-    for instance in 0..instances {
-        while !site.places_new_flow_on(&mut caller, instance, target) {
-            let waited = start.elapsed();
-            assert!(
-                waited < APPLY_LIMIT,
-                "instance {instance}: not in {waited:?}"
-            );
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
-}
-
 // Guards against a configuration that only the instances watching the platform apply, since its
 // revision is below those that their peers know from before the restore.
 #[test]
@@ -57,7 +37,7 @@
     // The instances that watch have read everything again.
     std::thread::sleep(Duration::from_secs(2));
     site.publish_config(5, "archive");
-    assert_in_use(site, 4, 3);
+    site.assert_in_use(4, 3);
 }
 
 // Guards against a watch that goes on from a revision of the lost history and misses what was
@@ -78,7 +58,7 @@
             site.publish_config(version, "board");
         }
     });
-    assert_in_use(site, 3, 3);
+    site.assert_in_use(3, 3);
 }
 
 // Guards against new flows on a target that left, whose registration a restore brought back.
@@ -119,10 +99,10 @@
     site.add_target(3, "archive");
     let copy = site.store.copy();
     site.publish_config(2, "archive");
-    assert_in_use(site, 3, 3);
+    site.assert_in_use(3, 3);
     restore(site, &copy, |_| {});
     // The first instance is the seed, and reads the platform as it starts.
     site.restart_instance(0);
     site.wait_until("ready again", |site| site.is_ready(0));
-    assert_in_use(site, 3, 3);
+    site.assert_in_use(3, 3);
 }
