--- a/review/flows.py
+++ b/review/flows.py
@@ -8,16 +8,13 @@
 
 
 class Backend(standin.Backend):
-    """Retransmits its SYN+ACK and its answers until they are acknowledged, and loses datagrams on the way to clients."""
+    """Retransmits its SYN+ACK and its answers until they are acknowledged."""
 
     def send(self, flow, flags, seq, ack, echo, data=b""):
         if flags & RST:
             with self.fleet.resets_lock:
                 self.fleet.resets.append((time.monotonic(), flow, self))
-        if random.random() >= self.fleet.loss:
-            super().send(flow, flags, seq, ack, echo, data)
-        elif flags & SYN:
-            self.fleet.record(f"{self.ident}: SYN+ACK for port {flow[1]} is lost")
+        super().send(flow, flags, seq, ack, echo, data)
 
     def expect(self, flow, until, *packet):
         """Sends a packet, and again until `until` is acknowledged."""
@@ -98,6 +95,8 @@
         if p.flags & RST:
             self.state, self.reset = "reset", (time.monotonic(), self.state)
             return
+        if p.flags & SYN and self.state == "open":
+            return  # of another backend, which got a copy
         self.echo = p.echo
         if p.flags & SYN:
             if self.state == "opening":
@@ -191,4 +190,4 @@
 
 
 def prepare(fleet):
-    fleet.loss, fleet.opened, fleet.resets, fleet.resets_lock = 0.0, {}, [], threading.Lock()
+    fleet.opened, fleet.resets, fleet.resets_lock = {}, [], threading.Lock()
