--- a/review/flows.py
+++ b/review/flows.py
@@ -16,6 +16,15 @@
                 self.fleet.resets.append((time.monotonic(), flow, self))
         super().send(flow, flags, seq, ack, echo, data)
 
+    def ran(self, request):
+        self.fleet.record(f"{self.ident}: runs {request}")
+
+    def setup(self):
+        pass
+
+    def is_full(self):
+        return False
+
     def expect(self, flow, until, *packet):
         """Sends a packet, and again until `until` is acknowledged."""
         self.send(flow, *packet)
@@ -29,6 +38,7 @@
         later(WAITS[0], again, 1)
 
     def run(self):
+        self.setup()
         while True:
             data, _ = self.socket.recvfrom(4096)
             number, p = int.from_bytes(data[:8], "big"), standin.Packet(data[8:])
@@ -36,12 +46,16 @@
                 continue
             flow, now = p.flow(), time.monotonic()
             known = self.flows.get(flow)
+            if known:
+                known["at"] = now
             if p.flags & RST:
                 self.flows.pop(flow, None)
             elif p.flags & SYN:
+                if not known and self.is_full():
+                    continue
                 if not known:
                     seq = random.getrandbits(31)
-                    self.flows[flow] = {"seq": seq, "next": p.seq + 1, "open": False, "acked": seq}
+                    self.flows[flow] = {"seq": seq, "next": p.seq + 1, "open": False, "acked": seq, "at": now}
                     self.expect(flow, seq + 1, SYN | ACK, seq, p.seq + 1, p.echo)
                 elif not known["open"]:
                     self.send(flow, SYN | ACK, known["seq"], known["next"], p.echo)
@@ -56,7 +70,7 @@
                 if p.len and p.seq == known["next"]:
                     known["next"] += p.len
                     body = b"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 2\r\n\r\nok" % self.ident.encode()
-                    self.fleet.record(f"{self.ident}: runs {p.data.split()[4].decode()}")
+                    self.ran(p.data.split()[4].decode())
                     self.expect(flow, p.ack + len(body), ACK, p.ack, known["next"], p.echo, body)
                 if p.flags & FIN:
                     self.send(flow, ACK | FIN, p.ack, p.seq + p.len + 1, p.echo)
@@ -66,9 +80,9 @@
 class Flow:
     """A client's flow: opens, makes requests with pauses and closes. Its packets carry the last `echo` that it received."""
 
-    def __init__(self, client, port, route, requests, pause=0.3):
+    def __init__(self, client, port, route, requests, pause=0.3, hold=False):
         self.client, self.port, self.state, self.echo = client, port, "opening", 0
-        self.route, self.requests, self.pause = route, requests, pause
+        self.route, self.requests, self.pause, self.hold = route, requests, pause, hold
         self.seq, self.peer, self.left, self.reset, self.at = 1000, 0, requests, None, time.monotonic()
         self.waiting = None
         self.packet(SYN, 0)
@@ -116,6 +130,8 @@
     def request(self):
         if self.state != "open":
             return
+        if not self.left and self.hold:
+            return  # stays open and idle
         if not self.left:
             self.state = "closed"
             self.packet(ACK | FIN, self.peer)
