review: case 8, two machines each spend the whole budget of a cold back end

Cause: a machine that has heard no other counts itself as the only one of its zone, though its seeds never answered.

--- a/review/standin-2/stack.py
+++ b/review/standin-2/stack.py
@@ -260,7 +260,8 @@
 
     def __init__(self, stack, name, ip, zone, service, slots=3, work_s=0.04):
         self.stack, self.ip, self.zone, self.service = stack, ip, zone, service
-        self.slots, self.work_s = slots, work_s
+        self.slots = slots
+        self.work = lambda request: work_s
         self.name = name
         self.id = f"i-{random.getrandbits(31) | 0x40000000:08x}"
         self.address = (ip, BACKEND_PORT)
@@ -354,7 +355,7 @@
             request = packet.data.decode(errors="replace").split("Request-Id: ")[-1].split("\r\n")[0]
             at = self.stack.record.line("run", backend=self.name, request=request)
             self.runs.append((at, request))
-            time.sleep(self.work_s)
+            time.sleep(self.work(request))
             body = f"{self.id} {request}"
             text = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
             flow["answers"][packet.seq] = (flow["sent"], text)
@@ -483,6 +484,7 @@
         self.stack, self.name, self.ip, self.zone = stack, name, ip, zone
         self.traffic = (ip, TRAFFIC_PORT)
         self.process = None
+        self.seeds = None
         self.store_ip = f"127.{stack.block}.200.{len(stack.machines) + 1}"
         stack.store.listen(self.store_ip, name)
         self.settings = os.path.join(stack.directory, f"{name}.yaml")
@@ -490,20 +492,19 @@
 
     def write_settings(self):
         zones = ",".join(f"{zone}:region" for zone in self.stack.zones)
-        seeds = ",".join(f"{machine.ip}:8166" for machine in self.stack.machines[:3])
-        features = "base,drain,config,cost,recover,flows,platform"
+        first = [machine.ip for machine in self.stack.machines[:3]]
+        seeds = ",".join(f"{ip}:8166" for ip in (self.seeds or first))
         with open(os.path.join(ROOT, "platform", "quetzald.ini"), encoding="utf-8") as file:
             lines = file.read().splitlines()
         values = {
             "{{nodeId}}": self.name, "{{zone}}": self.zone,
-            "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}": zones, "{{contracts}}": features,
+            "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}": zones, "{{contracts}}": self.stack.contracts,
             "{{listen.datagramAddr}}": f"{self.ip}:{TRAFFIC_PORT}",
             "{{listen.ready}}": f"{self.ip}:{READY_PORT}", "{{ip}}": self.ip,
             "{{internalPorts.0}}": str(CONTROL_PORT), "{{seeds}}": seeds,
             "{{platform.address}}": f"{self.store_ip}:{STORE_PORT}",
         }
-        bounds = {"bounds.drainMs": "3000", "bounds.configApplyMs": "3000",
-                  "bounds.stabilityMs": "4000", "platform.historyS": "20", "heartbeatMs": "1200"}
+        bounds = self.stack.bounds
         out = []
         for line in lines:
             if line.startswith("{{#"):
@@ -561,6 +562,11 @@
         for index, zone in enumerate(machines):
             ip = f"127.{self.block}.{zones.index(zone) + 1}.{index + 1}"
             self.machines.append(Machine(self, f"front-{zone}-{index + 1}", ip, zone))
+        self.contracts = "base,drain,config,cost,recover,flows,platform"
+        self.bounds = {"bounds.drainMs": "3000", "bounds.configApplyMs": "3000",
+                       "bounds.stabilityMs": "4000", "platform.historyS": "20",
+                       "heartbeatMs": "1200"}
+        self.service_fields = {}
         self.backends = []
         self.version = 0
         self.hosts = 0
@@ -573,18 +579,19 @@
         config = {
             "version": self.version, "routes": [route],
             "services": [{"name": name, "healthPath": "/health", "maxConns": 2000,
-                          "protocol": "h1", "tls": False} for name in services],
+                          "protocol": "h1", "tls": False, **self.service_fields}
+                         for name in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
         }
         return self.store.put("op/config", config)
 
-    def add_backend(self, zone, service):
+    def add_backend(self, zone, service, **changes):
         number = len(self.backends) + 1
         ip = f"127.{self.block}.{100 + self.zones.index(zone)}.{number}"
         backend = Backend(self, f"backend-{number}", ip, zone, service)
         self.backends.append(backend)
-        backend.register()
+        self.store.put(f"servers/{backend.id}", backend.entry(**changes))
         return backend
 
     def host(self):
