--- a/review/standin-2/stack.py
+++ b/review/standin-2/stack.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 import zlib
 
@@ -25,9 +26,9 @@
 TRAFFIC_PORT = 8172
 READY_PORT = 8167
 CONTROL_PORT = 7720
+METRICS_PORT = 9464
 BACKEND_PORT = 8080
 STORE_PORT = 8169
-ROUTE_IP = "198.18.0.1"  # Only written into packets; nothing is sent to it.
 ROUTE_PORT = 8443
 # Figures of sites/gpcg-rounds.toml.
 DRAIN_S = 3.0
@@ -65,7 +66,8 @@
     random.shuffle(blocks)
     for block in blocks:
         try:
-            for ip, port in [(f"127.{block}.1.1", TRAFFIC_PORT), (f"127.{block}.200.1", STORE_PORT)]:
+            ports = [TRAFFIC_PORT, READY_PORT, CONTROL_PORT, METRICS_PORT, BACKEND_PORT, STORE_PORT]
+            for ip, port in [(f"127.{block}.1.1", port) for port in ports]:
                 for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
                         probe.bind((ip, port))
@@ -427,7 +429,7 @@
     def __init__(self, host, port, through):
         self.host, self.port, self.through = host, port, through
         self.stack = host.stack
-        self.source, self.route = (host.ip, port), (ROUTE_IP, ROUTE_PORT)
+        self.source, self.route = (host.ip, port), (self.stack.route_ip, ROUTE_PORT)
         self.isn = random.getrandbits(31)
         self.seq = self.isn + 1
         self.ack, self.echo = 0, 0
@@ -435,6 +437,7 @@
         self.peer = None
         self.answer = threading.Event()
         self.body = None
+        self.sent_at = None
         self.resets = []
         host.flows[port] = self
 
@@ -488,6 +491,8 @@
         end, wait, seq = time.monotonic() + timeout, 0.2, self.seq
         self.seq += len(data)
         while time.monotonic() < end and self.state == "open":
+            # When the packet was sent that opens the flow, or its last copy.
+            self.sent_at = self.stack.record.now()
             self._send(ACK, seq, self.ack, data)
             if self.answer.wait(min(wait, max(0.0, end - time.monotonic()))):
                 break
@@ -583,6 +588,8 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self.directory = tempfile.mkdtemp(prefix="quetzal-review-")
         self.block = free_block()
+        # Stands in packets and in the configuration; nothing is sent to it.
+        self.route_ip = f"127.{self.block}.250.1"
         self.zones = zones
         self.store = Store(self.record)
         self.machines = []
@@ -600,7 +607,7 @@
 
     def publish(self, routes_service, services):
         self.version += 3
-        route = {"name": "r-1", "host": ROUTE_IP, "prefix": f"/{ROUTE_PORT}/", "type": "safe",
+        route = {"name": "r-1", "host": self.route_ip, "prefix": f"/{ROUTE_PORT}/", "type": "safe",
                  "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 2,
                  "service": routes_service, "maxAttempts": 2}
         config = {
@@ -659,6 +666,9 @@
         status = 1 if stack.broken else 0
     except Unusable as why:
         print(f"could not run: {why}")
+    except Exception:
+        # A fault of the script itself says nothing about the rule.
+        traceback.print_exc()
     finally:
         for one in ACTIVE:
             one.stop()
